--- a/base/include/base/error_kind.hpp
+++ b/base/include/base/error_kind.hpp
@@ -33,6 +33,9 @@
     invalid_configuration,
     stale_configuration,
     platform_unavailable,
+    headers_too_large,
+    request_timeout,
+    target_timeout,
     internal,
 };
 
--- a/base/src/error_answer.cpp
+++ b/base/src/error_answer.cpp
@@ -59,6 +59,12 @@
      "A newer configuration is in force."},
     {k::platform_unavailable, "platform_unavailable", 503, not_run, true,
      "The platform did not answer."},
+    {k::headers_too_large, "headers_too_large", 431, not_run, false,
+     "The request's headers are over the limit."},
+    {k::request_timeout, "request_timeout", 408, not_run, false,
+     "The request did not arrive in time."},
+    {k::target_timeout, "target_timeout", 504, unknown, false,
+     "No target answered in time."},
     {k::internal, "internal", 500, unknown, false, "Internal fault."},
 }};
 
--- /dev/null
+++ b/eventloop/include/eventloop/message_reader.hpp
@@ -0,0 +1,87 @@
+// Incremental reading of HTTP/1.1 messages, by http_parser.
+#ifndef KUMQUATRAMP_EVENTLOOP_MESSAGE_READER_HPP
+#define KUMQUATRAMP_EVENTLOOP_MESSAGE_READER_HPP
+
+#include <cstddef>
+#include <eventloop/http_message.hpp>
+#include <http_parser.h>
+#include <span>
+
+namespace kumquatramp::eventloop
+{
+
+/// Reads one message at a time from a stream of bytes. Ambiguous framing
+/// (both a length and chunks, two lengths) is an error.
+///
+///     message_reader reader(message_reader::kind::request, 16384, 262144);
+///     std::size_t used = reader.feed(bytes);
+///     if (reader.state() == message_reader::progress::complete) ...
+class message_reader
+{
+public:
+    enum class kind
+    {
+        request,
+        response,
+    };
+
+    enum class progress
+    {
+        idle,    ///< no byte of a message yet
+        head,    ///< within the start line or headers
+        body,    ///< within the body
+        complete,
+        malformed,
+        headers_too_large,
+        body_too_large,
+    };
+
+    message_reader(kind what, std::size_t header_bytes, std::size_t body_bytes);
+    message_reader(message_reader const&) = delete;
+    message_reader& operator=(message_reader const&) = delete;
+
+    /// Takes bytes up to the end of the message; gives how many it took.
+    std::size_t feed(std::span<char const> bytes);
+
+    /// The stream has ended in order: completes a message without a length.
+    void finish();
+
+    /// Prepares for the next message. `no_body`: its headers end it, as in
+    /// the answer to HEAD.
+    void reset(bool no_body = false);
+
+    void set_limits(std::size_t header_bytes, std::size_t body_bytes);
+
+    progress state() const { return state_; }
+    bool failed() const { return state_ > progress::complete; }
+    bool expects_continue() const { return expects_continue_; }
+
+    http_message& message() { return message_; }
+
+private:
+    static int on_begin(http_parser* p);
+    static int on_url(http_parser* p, char const* at, std::size_t length);
+    static int on_status(http_parser* p, char const* at, std::size_t length);
+    static int on_field(http_parser* p, char const* at, std::size_t length);
+    static int on_value(http_parser* p, char const* at, std::size_t length);
+    static int on_head_end(http_parser* p);
+    static int on_body(http_parser* p, char const* at, std::size_t length);
+    static int on_end(http_parser* p);
+    static http_parser_settings const& callbacks();
+    bool count_head(std::size_t length);
+
+    http_parser parser_{};
+    kind kind_;
+    std::size_t header_limit_;
+    std::size_t body_limit_;
+    progress state_ = progress::idle;
+    http_message message_;
+    std::size_t head_size_ = 0;
+    bool in_value_ = false;
+    bool no_body_ = false;
+    bool expects_continue_ = false;
+};
+
+} // namespace kumquatramp::eventloop
+
+#endif
--- /dev/null
+++ b/eventloop/src/datagram_port.cpp
@@ -0,0 +1,48 @@
+// A UDP socket that reads until it is empty.
+#include <eventloop/datagram_port.hpp>
+
+namespace kumquatramp::eventloop
+{
+
+datagram_port::datagram_port(asio::io_context& loop,
+                             asio::ip::udp::endpoint const& own,
+                             handler received)
+    : socket_(loop, own)
+    , received_(std::move(received))
+{
+    socket_.non_blocking(true);
+    receive();
+}
+
+void datagram_port::send(std::string const& ip, std::string_view bytes)
+{
+    asio::error_code failed;
+    auto const address = asio::ip::make_address(ip, failed);
+    if (!failed)
+    {
+        // Loss is part of the protocol: the next round tells it again.
+        socket_.send_to(asio::buffer(bytes),
+                        {address, socket_.local_endpoint().port()}, 0, failed);
+    }
+}
+
+void datagram_port::receive()
+{
+    socket_.async_receive_from(
+        asio::buffer(buffer_), sender_,
+        [this](asio::error_code const& failed, std::size_t size)
+        {
+            if (failed == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!failed)
+            {
+                received_(sender_.address().to_string(),
+                          std::string_view(buffer_.data(), size));
+            }
+            receive();
+        });
+}
+
+} // namespace kumquatramp::eventloop
--- /dev/null
+++ b/eventloop/src/details/server_connection.cpp
@@ -0,0 +1,277 @@
+// Reads requests one after the other and writes their answers.
+#include "details/server_connection.hpp"
+#include "details/read_buffer.hpp"
+#include <asio/write.hpp>
+#include <base/error_answer.hpp>
+#include <eventloop/socket_options.hpp>
+
+namespace kumquatramp::eventloop
+{
+
+namespace
+{
+
+/// Bytes kept of requests that were sent ahead of an answer.
+constexpr std::size_t most_pending = 65536;
+/// How long a client may take to read the end of its connection.
+constexpr duration linger_time = 1s;
+
+} // namespace
+
+server_connection::server_connection(http_server& server,
+                                     asio::ip::tcp::socket socket)
+    : server_(server)
+    , socket_(std::move(socket))
+    , reader_(message_reader::kind::request, server.limits_.header_bytes,
+              server.limits_.body_bytes)
+    , since_(server.time_.now())
+    , last_byte_(since_)
+{
+}
+
+void server_connection::start()
+{
+    set_common_options(socket_);
+    wait_readable();
+}
+
+void server_connection::wait_readable()
+{
+    if (waiting_ || closed_)
+    {
+        return;
+    }
+    waiting_ = true;
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](asio::error_code const& e)
+                       {
+                           self->waiting_ = false;
+                           if (!e && !self->closed_)
+                           {
+                               self->on_readable();
+                           }
+                       });
+}
+
+void server_connection::on_readable()
+{
+    auto& buffer = read_buffer();
+    asio::error_code failed;
+    std::size_t const size =
+        socket_.read_some(asio::buffer(buffer), failed);
+    if (failed == asio::error::would_block)
+    {
+        wait_readable();
+        return;
+    }
+    if (failed)
+    {
+        exchange_id const open = exchange_;
+        close();
+        if (open != 0)
+        {
+            server_.handler_.on_client_gone(open);
+        }
+        return;
+    }
+    if (!lingering_)
+    {
+        last_byte_ = server_.time_.now();
+        take({buffer.data(), size});
+    }
+    // A client that sends far ahead of its answers is not read any further.
+    if (pending_.size() < most_pending)
+    {
+        wait_readable();
+    }
+}
+
+void server_connection::take(std::span<char const> bytes)
+{
+    if (exchange_ == 0 && pending_.empty() && !close_after_)
+    {
+        if (reader_.state() == message_reader::progress::idle)
+        {
+            since_ = last_byte_;
+        }
+        bytes = bytes.subspan(reader_.feed(bytes));
+    }
+    pending_.append(bytes.data(), bytes.size());
+    process();
+}
+
+void server_connection::process()
+{
+    if (processing_)
+    {
+        return;
+    }
+    processing_ = true;
+    auto const self = shared_from_this();
+    while (exchange_ == 0 && !closed_ && !close_after_ && !writing_)
+    {
+        using progress = message_reader::progress;
+        if (reader_.state() < progress::complete && !pending_.empty())
+        {
+            std::size_t const used = reader_.feed(pending_);
+            pending_.erase(0, used);
+        }
+        if (reader_.failed())
+        {
+            refuse(reader_.state() == progress::headers_too_large
+                       ? error_kind::headers_too_large
+                   : reader_.state() == progress::body_too_large
+                       ? error_kind::body_too_large
+                       : error_kind::malformed_request);
+            break;
+        }
+        if (reader_.state() != progress::complete)
+        {
+            if (reader_.state() == progress::body &&
+                reader_.expects_continue() && !continued_)
+            {
+                continued_ = true;
+                write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            break;
+        }
+        exchange_ = ++server_.last_exchange_;
+        server_.exchanges_.emplace(exchange_, this);
+        close_after_ = !reader_.message().keep_alive;
+        server_.handler_.on_request(exchange_, reader_.message());
+        if (exchange_ != 0)
+        {
+            break;
+        }
+    }
+    processing_ = false;
+}
+
+void server_connection::refuse(error_kind kind)
+{
+    close_after_ = true;
+    pending_.clear();
+    write(server_.handler_.rejection(kind));
+}
+
+void server_connection::respond(std::string bytes, bool close)
+{
+    server_.exchanges_.erase(exchange_);
+    exchange_ = 0;
+    close_after_ = close_after_ || close;
+    reader_.set_limits(server_.limits_.header_bytes,
+                       server_.limits_.body_bytes);
+    reader_.reset();
+    continued_ = false;
+    since_ = server_.time_.now();
+    write(std::move(bytes));
+    if (!writing_)
+    {
+        process();
+    }
+    wait_readable();
+}
+
+void server_connection::write(std::string bytes)
+{
+    if (closed_)
+    {
+        return;
+    }
+    asio::error_code failed;
+    std::size_t const sent =
+        socket_.write_some(asio::buffer(bytes), failed);
+    if (failed && failed != asio::error::would_block)
+    {
+        close();
+        return;
+    }
+    if (sent == bytes.size())
+    {
+        after_write();
+        return;
+    }
+    out_ = bytes.substr(sent);
+    writing_ = true;
+    asio::async_write(
+        socket_, asio::buffer(out_),
+        [self = shared_from_this()](asio::error_code const& e, std::size_t)
+        {
+            self->writing_ = false;
+            if (e)
+            {
+                self->close();
+                return;
+            }
+            self->out_.clear();
+            self->after_write();
+            self->process();
+        });
+}
+
+void server_connection::after_write()
+{
+    if (!close_after_ || exchange_ != 0)
+    {
+        return;
+    }
+    // Closing with unread bytes would reset the connection and with it the
+    // answer, so the client closes first.
+    lingering_ = true;
+    since_ = server_.time_.now();
+    pending_.clear();
+    asio::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    wait_readable();
+}
+
+void server_connection::sweep(time_point now,
+                              serving::edge_limits const& limits)
+{
+    using progress = message_reader::progress;
+    if (exchange_ != 0 || closed_ || writing_)
+    {
+        return;
+    }
+    if (lingering_)
+    {
+        if (now - since_ >= linger_time)
+        {
+            close();
+        }
+        return;
+    }
+    bool const in_head = reader_.state() == progress::head;
+    bool const in_body = reader_.state() == progress::body;
+    if (in_head ? now - since_ >= limits.header_timeout
+                : in_body && now - last_byte_ >= limits.idle_timeout)
+    {
+        refuse(error_kind::request_timeout);
+        return;
+    }
+    if (!in_head && !in_body && now - since_ >= limits.idle_timeout)
+    {
+        close();
+    }
+}
+
+void server_connection::close()
+{
+    if (closed_)
+    {
+        return;
+    }
+    closed_ = true;
+    asio::error_code ignored;
+    socket_.close(ignored);
+    if (exchange_ != 0)
+    {
+        server_.exchanges_.erase(exchange_);
+        exchange_ = 0;
+    }
+    // The server's reference goes with the current step of the loop.
+    asio::post(socket_.get_executor(), [self = shared_from_this()]
+               { self->server_.connections_.erase(self.get()); });
+}
+
+} // namespace kumquatramp::eventloop
--- /dev/null
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -0,0 +1,301 @@
+// Sends one request at a time and reads its answer.
+#include "details/upstream_connection.hpp"
+#include "details/read_buffer.hpp"
+#include <asio/write.hpp>
+#include <charconv>
+#include <eventloop/socket_options.hpp>
+
+namespace kumquatramp::eventloop
+{
+
+namespace
+{
+
+/// Bounds on a target's answer: memory of a small host.
+constexpr std::size_t answer_header_bytes = 65536;
+constexpr std::size_t answer_body_bytes = 16U << 20U;
+
+/// Idle time without a Keep-Alive header.
+constexpr duration default_idle_limit = 10s;
+/// Share of the stated time that is used: the target's clock has run on when
+/// the next request arrives.
+constexpr double idle_share = 0.8;
+
+} // namespace
+
+upstream_connection::upstream_connection(upstream_pool& pool, std::string lane)
+    : pool_(pool)
+    , lane_(std::move(lane))
+    , socket_(pool.loop_)
+    , reader_(message_reader::kind::response, answer_header_bytes,
+              answer_body_bytes)
+    , since_(pool.time_.now())
+    , idle_limit_(default_idle_limit)
+{
+}
+
+void upstream_connection::connect(asio::ip::tcp::endpoint const& to,
+                                  upstream_pool::order_state order)
+{
+    order_ = std::move(order);
+    has_order_ = true;
+    socket_.async_connect(to, [self = shared_from_this()](
+                                  asio::error_code const& failed)
+                          { self->on_connected(failed); });
+}
+
+void upstream_connection::on_connected(asio::error_code const& failed)
+{
+    if (state_ == state::closed)
+    {
+        return;
+    }
+    if (failed)
+    {
+        give_up("connection refused");
+        return;
+    }
+    set_common_options(socket_);
+    state_ = state::idle;
+    since_ = pool_.time_.now();
+    wait_readable();
+    if (has_order_)
+    {
+        send(std::move(order_));
+    }
+    else
+    {
+        pool_.dispatch(*pool_.lanes_.at(lane_));
+    }
+}
+
+void upstream_connection::expire()
+{
+    give_up("connection timed out");
+}
+
+void upstream_connection::give_up(char const* cause)
+{
+    auto const self = shared_from_this();
+    bool const had_order = has_order_;
+    auto const attempt = had_order ? take_attempt() : 0;
+    close();
+    if (had_order)
+    {
+        pool_.finish(attempt, send_outcome::not_sent, nullptr, cause);
+    }
+}
+
+bool upstream_connection::withdraw()
+{
+    if (state_ != state::connecting || !has_order_)
+    {
+        return false;
+    }
+    has_order_ = false;
+    return true;
+}
+
+void upstream_connection::send(upstream_pool::order_state order)
+{
+    order_ = std::move(order);
+    has_order_ = true;
+    serving::attempt_handle const attempt = order_.order.attempt;
+    std::string bytes = pool_.client_.request_bytes(attempt);
+    if (bytes.empty())
+    {
+        take_attempt();
+        pool_.finish_later(attempt, "");
+        return;
+    }
+    state_ = state::busy;
+    reader_.reset(order_.no_body);
+    asio::error_code failed;
+    std::size_t const sent = socket_.write_some(asio::buffer(bytes), failed);
+    if (failed && failed != asio::error::would_block)
+    {
+        take_attempt();
+        close();
+        pool_.finish_later(attempt, "connection had been closed");
+        return;
+    }
+    if (sent == bytes.size())
+    {
+        return;
+    }
+    out_ = bytes.substr(sent);
+    writing_ = true;
+    asio::async_write(
+        socket_, asio::buffer(out_),
+        [self = shared_from_this()](asio::error_code const& e, std::size_t)
+        {
+            self->writing_ = false;
+            self->out_.clear();
+            if (e && self->state_ != state::closed)
+            {
+                self->on_broken(false);
+            }
+        });
+}
+
+void upstream_connection::wait_readable()
+{
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](asio::error_code const& e)
+                       {
+                           if (!e && self->state_ != state::closed)
+                           {
+                               self->on_readable();
+                           }
+                       });
+}
+
+void upstream_connection::on_readable()
+{
+    auto& buffer = read_buffer();
+    asio::error_code failed;
+    std::size_t const size =
+        socket_.read_some(asio::buffer(buffer), failed);
+    if (failed == asio::error::would_block)
+    {
+        wait_readable();
+        return;
+    }
+    if (failed)
+    {
+        on_broken(failed == asio::error::eof);
+        return;
+    }
+    on_bytes({buffer.data(), size});
+    if (state_ != state::closed)
+    {
+        wait_readable();
+    }
+}
+
+void upstream_connection::on_bytes(std::span<char const> bytes)
+{
+    if (state_ != state::busy)
+    {
+        // Bytes that no request asked for belong to none.
+        close();
+        return;
+    }
+    while (!bytes.empty())
+    {
+        bytes = bytes.subspan(reader_.feed(bytes));
+        if (reader_.failed())
+        {
+            on_broken(false);
+            return;
+        }
+        if (reader_.state() != message_reader::progress::complete)
+        {
+            return;
+        }
+        int const status = reader_.message().status;
+        if (status >= 200 || status == 101)
+        {
+            break;
+        }
+        reader_.reset(order_.no_body); // an interim answer
+    }
+    if (reader_.state() == message_reader::progress::complete)
+    {
+        complete(bytes.empty() && !writing_ && reader_.message().keep_alive);
+    }
+}
+
+void upstream_connection::on_broken(bool in_order)
+{
+    auto const self = shared_from_this();
+    if (state_ == state::busy && in_order)
+    {
+        reader_.finish();
+        if (reader_.state() == message_reader::progress::complete)
+        {
+            complete(false);
+            return;
+        }
+    }
+    bool const malformed = reader_.failed() && !in_order;
+    bool const had_order = has_order_;
+    auto const attempt = had_order ? take_attempt() : 0;
+    close();
+    if (had_order)
+    {
+        pool_.finish(attempt, send_outcome::broken, nullptr,
+                     malformed   ? "malformed answer"
+                     : in_order ? "connection closed before the answer's end"
+                                : "connection reset");
+    }
+}
+
+void upstream_connection::complete(bool reusable)
+{
+    auto const self = shared_from_this();
+    auto const attempt = take_attempt();
+    http_message& answer = reader_.message();
+    bool const belongs = pool_.client_.belongs(attempt, answer);
+    learn_idle_limit(answer);
+    if (belongs)
+    {
+        pool_.finish(attempt, send_outcome::answered, &answer, "");
+    }
+    else
+    {
+        pool_.finish(attempt, send_outcome::broken, nullptr,
+                     "answer to another request");
+    }
+    if (state_ == state::closed)
+    {
+        return;
+    }
+    if (!reusable || !belongs)
+    {
+        close();
+        return;
+    }
+    state_ = state::idle;
+    since_ = pool_.time_.now();
+    pool_.dispatch(*pool_.lanes_.at(lane_));
+}
+
+void upstream_connection::learn_idle_limit(http_message const& answer)
+{
+    constexpr std::string_view key = "timeout=";
+    std::string_view const text = answer.header("Keep-Alive");
+    auto const at = text.find(key);
+    int seconds = 0;
+    if (at == std::string_view::npos ||
+        std::from_chars(text.data() + at + key.size(),
+                        text.data() + text.size(), seconds)
+                .ec != std::errc{})
+    {
+        return;
+    }
+    idle_limit_ = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds * idle_share));
+}
+
+serving::attempt_handle upstream_connection::take_attempt()
+{
+    has_order_ = false;
+    auto const attempt = order_.order.attempt;
+    order_.order.to.reset();
+    return attempt;
+}
+
+void upstream_connection::close()
+{
+    if (state_ == state::closed)
+    {
+        return;
+    }
+    state_ = state::closed;
+    asio::error_code ignored;
+    socket_.close(ignored);
+    pool_.forget(this);
+}
+
+} // namespace kumquatramp::eventloop
--- /dev/null
+++ b/eventloop/src/http_caller.cpp
@@ -0,0 +1,209 @@
+// One kept connection for calls to one server.
+#include "details/read_buffer.hpp"
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <eventloop/http_caller.hpp>
+#include <eventloop/message_reader.hpp>
+#include <eventloop/socket_options.hpp>
+#include <optional>
+
+namespace kumquatramp::eventloop
+{
+
+namespace
+{
+
+/// Bounds on an answer: a page of the store holds up to a megabyte in base64.
+constexpr std::size_t answer_header_bytes = 65536;
+constexpr std::size_t answer_body_bytes = 16U << 20U;
+
+} // namespace
+
+/// A connection and the call on it. Lives until its last operation ends.
+class http_caller::session : public std::enable_shared_from_this<session>
+{
+public:
+    session(asio::io_context& loop, asio::ip::tcp::endpoint server)
+        : socket_(loop)
+        , timer_(loop)
+        , server_(std::move(server))
+        , reader_(message_reader::kind::response, answer_header_bytes,
+                  answer_body_bytes)
+    {
+    }
+
+    void call(std::string bytes, duration timeout, handler done)
+    {
+        done_ = std::move(done);
+        bytes_ = std::move(bytes);
+        reader_.reset();
+        timer_.expires_after(timeout);
+        timer_.async_wait(
+            [self = shared_from_this(),
+             call = ++calls_](asio::error_code const& e)
+            {
+                if (!e && call == self->calls_ && self->done_)
+                {
+                    self->fail("timed out");
+                }
+            });
+        if (connected_)
+        {
+            send();
+            return;
+        }
+        socket_.async_connect(
+            server_,
+            [self = shared_from_this()](asio::error_code const& e)
+            {
+                if (e || self->dead_)
+                {
+                    self->fail("connection refused");
+                    return;
+                }
+                set_common_options(self->socket_);
+                self->connected_ = true;
+                self->wait_readable();
+                self->send();
+            });
+    }
+
+    bool busy() const { return static_cast<bool>(done_); }
+    bool dead() const { return dead_; }
+
+    void fail(char const* cause)
+    {
+        if (!dead_)
+        {
+            dead_ = true;
+            asio::error_code ignored;
+            socket_.close(ignored);
+        }
+        end(nullptr, cause);
+    }
+
+private:
+    void send()
+    {
+        asio::async_write(
+            socket_, asio::buffer(bytes_),
+            [self = shared_from_this()](asio::error_code const& e, std::size_t)
+            {
+                if (e)
+                {
+                    self->fail("connection reset");
+                }
+            });
+    }
+
+    void wait_readable()
+    {
+        socket_.async_wait(
+            asio::ip::tcp::socket::wait_read,
+            [self = shared_from_this()](asio::error_code const& e)
+            {
+                if (!e && !self->dead_)
+                {
+                    self->on_readable();
+                }
+            });
+    }
+
+    void on_readable()
+    {
+        auto& buffer = read_buffer();
+        asio::error_code failed;
+        std::size_t const size =
+            socket_.read_some(asio::buffer(buffer), failed);
+        if (failed == asio::error::would_block)
+        {
+            wait_readable();
+            return;
+        }
+        if (failed || !done_)
+        {
+            fail("connection closed");
+            return;
+        }
+        std::size_t const used = reader_.feed({buffer.data(), size});
+        if (reader_.failed())
+        {
+            fail("malformed answer");
+            return;
+        }
+        if (reader_.state() == message_reader::progress::complete)
+        {
+            if (used != size || !reader_.message().keep_alive)
+            {
+                dead_ = true;
+                asio::error_code ignored;
+                socket_.close(ignored);
+            }
+            end(&reader_.message(), "");
+        }
+        if (!dead_)
+        {
+            wait_readable();
+        }
+    }
+
+    void end(http_message const* answer, char const* cause)
+    {
+        timer_.cancel();
+        if (auto done = std::move(done_))
+        {
+            done_ = nullptr;
+            done(answer, cause);
+        }
+    }
+
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    asio::ip::tcp::endpoint server_;
+    message_reader reader_;
+    std::string bytes_;
+    handler done_;
+    std::uint64_t calls_ = 0;
+    bool connected_ = false;
+    bool dead_ = false;
+};
+
+http_caller::http_caller(asio::io_context& loop,
+                         asio::ip::tcp::endpoint server)
+    : loop_(loop)
+    , server_(std::move(server))
+{
+}
+
+http_caller::~http_caller()
+{
+    reset();
+}
+
+void http_caller::get(std::string const& target, duration timeout,
+                      handler done)
+{
+    if (!session_ || session_->dead())
+    {
+        session_ = std::make_shared<session>(loop_, server_);
+    }
+    session_->call("GET " + target + " HTTP/1.1\r\nHost: " +
+                       server_.address().to_string() + "\r\n\r\n",
+                   timeout, std::move(done));
+}
+
+void http_caller::reset()
+{
+    if (session_)
+    {
+        auto const old = std::move(session_);
+        old->fail("connection given up");
+    }
+}
+
+bool http_caller::busy() const
+{
+    return session_ && session_->busy();
+}
+
+} // namespace kumquatramp::eventloop
--- /dev/null
+++ b/eventloop/src/http_server.cpp
@@ -0,0 +1,86 @@
+// Accepts connections and routes answers back to them.
+#include "details/server_connection.hpp"
+#include <eventloop/http_server.hpp>
+#include <eventloop/socket_options.hpp>
+
+namespace kumquatramp::eventloop
+{
+
+http_server::http_server(asio::io_context& loop, clock const& time,
+                         request_handler& handler)
+    : loop_(loop)
+    , time_(time)
+    , handler_(handler)
+    , acceptor_(loop)
+{
+}
+
+http_server::~http_server() = default;
+
+void http_server::listen(asio::ip::tcp::endpoint const& at)
+{
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen();
+    accept();
+}
+
+void http_server::accept()
+{
+    acceptor_.async_accept(
+        [this](asio::error_code const& failed, asio::ip::tcp::socket socket)
+        {
+            if (failed == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!failed)
+            {
+                auto connection = std::make_shared<server_connection>(
+                    *this, std::move(socket));
+                connections_.emplace(connection.get(), connection);
+                connection->start();
+            }
+            accept();
+        });
+}
+
+void http_server::stop_listening()
+{
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+void http_server::set_limits(serving::edge_limits const& limits)
+{
+    limits_ = limits;
+}
+
+void http_server::respond(exchange_id exchange, std::string bytes, bool close)
+{
+    auto const found = exchanges_.find(exchange);
+    if (found != exchanges_.end())
+    {
+        found->second->respond(std::move(bytes), close || closing_);
+    }
+}
+
+void http_server::sweep()
+{
+    time_point const now = time_.now();
+    for (auto const& [raw, connection] : connections_)
+    {
+        connection->sweep(now, limits_);
+    }
+}
+
+void http_server::close_all()
+{
+    for (auto const& [raw, connection] : connections_)
+    {
+        connection->close();
+    }
+}
+
+} // namespace kumquatramp::eventloop
--- /dev/null
+++ b/eventloop/src/message_reader.cpp
@@ -0,0 +1,214 @@
+// http_parser's callbacks fill a message.
+#include <eventloop/message_reader.hpp>
+
+namespace kumquatramp::eventloop
+{
+
+namespace
+{
+
+message_reader* self(http_parser* p)
+{
+    return static_cast<message_reader*>(p->data);
+}
+
+/// http_parser's own bound stands above every limit of a configuration.
+constexpr std::uint32_t parser_header_bound = 1U << 24U;
+
+} // namespace
+
+message_reader::message_reader(kind what, std::size_t header_bytes,
+                               std::size_t body_bytes)
+    : kind_(what)
+    , header_limit_(header_bytes)
+    , body_limit_(body_bytes)
+{
+    http_parser_set_max_header_size(parser_header_bound);
+    reset();
+}
+
+void message_reader::set_limits(std::size_t header_bytes,
+                                std::size_t body_bytes)
+{
+    header_limit_ = header_bytes;
+    body_limit_ = body_bytes;
+}
+
+void message_reader::reset(bool no_body)
+{
+    http_parser_init(&parser_,
+                     kind_ == kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+    state_ = progress::idle;
+    message_.method = {};
+    message_.target.clear();
+    message_.status = 0;
+    message_.headers.clear();
+    message_.body.clear();
+    message_.keep_alive = true;
+    head_size_ = 0;
+    in_value_ = false;
+    no_body_ = no_body;
+    expects_continue_ = false;
+}
+
+http_parser_settings const& message_reader::callbacks()
+{
+    static http_parser_settings const settings = []
+    {
+        http_parser_settings s;
+        http_parser_settings_init(&s);
+        s.on_message_begin = on_begin;
+        s.on_url = on_url;
+        s.on_status = on_status;
+        s.on_header_field = on_field;
+        s.on_header_value = on_value;
+        s.on_headers_complete = on_head_end;
+        s.on_body = on_body;
+        s.on_message_complete = on_end;
+        return s;
+    }();
+    return settings;
+}
+
+std::size_t message_reader::feed(std::span<char const> bytes)
+{
+    if (state_ >= progress::complete || bytes.empty())
+    {
+        return 0;
+    }
+    std::size_t const used = http_parser_execute(&parser_, &callbacks(),
+                                                 bytes.data(), bytes.size());
+    if (state_ == progress::complete)
+    {
+        return used;
+    }
+    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0)
+    {
+        if (!failed())
+        {
+            state_ = progress::malformed;
+        }
+        return used;
+    }
+    if (state_ == progress::idle)
+    {
+        // Blank lines before a start line are within the protocol.
+        head_size_ += bytes.size();
+        if (head_size_ > header_limit_)
+        {
+            state_ = progress::malformed;
+        }
+    }
+    return used;
+}
+
+void message_reader::finish()
+{
+    if (state_ == progress::body)
+    {
+        http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+    }
+    if (state_ != progress::complete && !failed())
+    {
+        state_ = progress::malformed;
+    }
+}
+
+bool message_reader::count_head(std::size_t length)
+{
+    head_size_ += length;
+    if (head_size_ > header_limit_)
+    {
+        state_ = progress::headers_too_large;
+        return false;
+    }
+    return true;
+}
+
+int message_reader::on_begin(http_parser* p)
+{
+    self(p)->state_ = progress::head;
+    return 0;
+}
+
+int message_reader::on_url(http_parser* p, char const* at, std::size_t length)
+{
+    auto* r = self(p);
+    r->message_.target.append(at, length);
+    return r->count_head(length) ? 0 : 1;
+}
+
+int message_reader::on_status(http_parser* p, char const*, std::size_t length)
+{
+    return self(p)->count_head(length) ? 0 : 1;
+}
+
+int message_reader::on_field(http_parser* p, char const* at,
+                             std::size_t length)
+{
+    auto* r = self(p);
+    if (r->in_value_ || r->message_.headers.empty())
+    {
+        r->message_.headers.emplace_back();
+        r->in_value_ = false;
+    }
+    r->message_.headers.back().name.append(at, length);
+    return r->count_head(length) ? 0 : 1;
+}
+
+int message_reader::on_value(http_parser* p, char const* at,
+                             std::size_t length)
+{
+    auto* r = self(p);
+    r->in_value_ = true;
+    r->message_.headers.back().value.append(at, length);
+    return r->count_head(length) ? 0 : 1;
+}
+
+int message_reader::on_head_end(http_parser* p)
+{
+    auto* r = self(p);
+    r->state_ = progress::body;
+    p->upgrade = p->method == HTTP_CONNECT ? p->upgrade : 0;
+    r->message_.keep_alive = http_should_keep_alive(p) != 0;
+    if (r->kind_ == kind::request)
+    {
+        r->message_.method =
+            http_method_str(static_cast<http_method>(p->method));
+        r->expects_continue_ =
+            same_name(r->message_.header("Expect"), "100-continue");
+    }
+    else
+    {
+        r->message_.status = static_cast<int>(p->status_code);
+    }
+    if (p->content_length != ~std::uint64_t{0} &&
+        p->content_length > r->body_limit_)
+    {
+        r->state_ = progress::body_too_large;
+        return -1;
+    }
+    return r->no_body_ ? 1 : 0;
+}
+
+int message_reader::on_body(http_parser* p, char const* at, std::size_t length)
+{
+    auto* r = self(p);
+    if (r->message_.body.size() + length > r->body_limit_)
+    {
+        r->state_ = progress::body_too_large;
+        return 1;
+    }
+    r->message_.body.append(at, length);
+    return 0;
+}
+
+int message_reader::on_end(http_parser* p)
+{
+    self(p)->state_ = progress::complete;
+    http_parser_pause(p, 1);
+    return 0;
+}
+
+} // namespace kumquatramp::eventloop
--- /dev/null
+++ b/eventloop/src/socket_options.cpp
@@ -0,0 +1,62 @@
+// Sets options; a refused option leaves a working connection.
+#include <charconv>
+#include <chrono>
+#include <eventloop/socket_options.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace kumquatramp::eventloop
+{
+
+namespace
+{
+
+/// A peer that stays silent this long after data was sent is gone.
+constexpr int user_timeout_ms = 4000;
+/// Idle connections: first probe after, then each, and so many of them.
+constexpr int probe_after_s = 2;
+constexpr int probe_every_s = 1;
+constexpr int probes = 2;
+
+void set(int fd, int level, int option, int value)
+{
+    setsockopt(fd, level, option, &value, sizeof value);
+}
+
+} // namespace
+
+void set_common_options(asio::ip::tcp::socket& socket)
+{
+    asio::error_code ignored;
+    socket.non_blocking(true, ignored);
+    int const fd = socket.native_handle();
+    set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(fd, IPPROTO_TCP, TCP_KEEPIDLE, probe_after_s);
+    set(fd, IPPROTO_TCP, TCP_KEEPINTVL, probe_every_s);
+    set(fd, IPPROTO_TCP, TCP_KEEPCNT, probes);
+}
+
+asio::ip::tcp::endpoint parse_endpoint(std::string_view text)
+{
+    auto const colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+    {
+        return {};
+    }
+    asio::error_code failed;
+    auto const address =
+        asio::ip::make_address(std::string(text.substr(0, colon)), failed);
+    std::uint16_t port = 0;
+    auto const digits = text.substr(colon + 1);
+    auto const [end, error] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (failed || error != std::errc{} || end != digits.data() + digits.size())
+    {
+        return {};
+    }
+    return {address, port};
+}
+
+} // namespace kumquatramp::eventloop
--- /dev/null
+++ b/eventloop/src/upstream_pool.cpp
@@ -0,0 +1,236 @@
+// Assigns sends to connections.
+#include "details/upstream_connection.hpp"
+#include <algorithm>
+#include <asio/post.hpp>
+#include <deque>
+#include <eventloop/socket_options.hpp>
+#include <eventloop/upstream_pool.hpp>
+#include <serving/target.hpp>
+
+namespace kumquatramp::eventloop
+{
+
+namespace
+{
+
+/// Time for a connection to stand; a target in the same region takes a few
+/// milliseconds.
+constexpr duration connect_timeout = 500ms;
+/// Sends that may wait for a connection of one target, per connection.
+constexpr std::size_t waiting_per_connection = 4;
+/// A request that must not be repeated goes out only on a connection that was
+/// in use within this share of its idle time: the target may be closing it.
+constexpr int fresh_share = 4;
+
+using state = upstream_connection::state;
+
+} // namespace
+
+struct upstream_pool::lane
+{
+    std::shared_ptr<serving::target> to;
+    std::vector<std::shared_ptr<upstream_connection>> connections;
+    std::deque<order_state> waiting;
+};
+
+upstream_pool::upstream_pool(asio::io_context& loop, clock const& time,
+                             upstream_client& client)
+    : loop_(loop)
+    , time_(time)
+    , client_(client)
+{
+}
+
+upstream_pool::~upstream_pool() = default;
+
+void upstream_pool::start(serving::attempt_order const& order, bool no_body)
+{
+    auto& entry = lanes_[order.to->record.id];
+    if (!entry)
+    {
+        entry = std::make_unique<lane>();
+    }
+    lane& l = *entry;
+    if (l.to != order.to)
+    {
+        // Another incarnation: its connections lead elsewhere.
+        auto const old = l.connections;
+        for (auto const& c : old)
+        {
+            if (c->now() == state::idle)
+            {
+                c->close();
+            }
+        }
+        l.to = order.to;
+    }
+    auto const limit = static_cast<std::size_t>(order.connection_limit);
+    if (l.waiting.size() >= limit * waiting_per_connection)
+    {
+        finish_later(order.attempt, "no free connection");
+        return;
+    }
+    l.waiting.push_back({order, no_body});
+    dispatch(l);
+}
+
+void upstream_pool::dispatch(lane& l)
+{
+    time_point const now = time_.now();
+    while (!l.waiting.empty())
+    {
+        order_state& first = l.waiting.front();
+        std::shared_ptr<upstream_connection> idle;
+        std::shared_ptr<upstream_connection> stale;
+        for (auto const& c : l.connections)
+        {
+            if (c->now() != state::idle || now >= c->idle_until())
+            {
+                continue;
+            }
+            bool const fresh = first.order.repeatable ||
+                               now - c->since() < c->idle_limit() / fresh_share;
+            auto& best = fresh ? idle : stale;
+            if (!best || c->since() > best->since())
+            {
+                best = c;
+            }
+        }
+        if (idle)
+        {
+            order_state order = std::move(first);
+            l.waiting.pop_front();
+            on_[order.order.attempt] = idle.get();
+            idle->send(std::move(order));
+            continue;
+        }
+        auto const limit =
+            static_cast<std::size_t>(first.order.connection_limit);
+        if (l.connections.size() >= limit && stale)
+        {
+            stale->close();
+        }
+        if (l.connections.size() >= limit)
+        {
+            return;
+        }
+        order_state order = std::move(first);
+        l.waiting.pop_front();
+        auto connection = std::make_shared<upstream_connection>(
+            *this, order.order.to->record.id);
+        l.connections.push_back(connection);
+        ++opened_;
+        on_[order.order.attempt] = connection.get();
+        auto const address = parse_endpoint(order.order.to->record.address);
+        connection->connect(address, std::move(order));
+    }
+}
+
+void upstream_pool::abandon(serving::attempt_handle attempt)
+{
+    auto const found = on_.find(attempt);
+    if (found != on_.end())
+    {
+        upstream_connection* connection = found->second;
+        if (connection->withdraw())
+        {
+            finish_later(attempt, "");
+            return;
+        }
+        // Called from within the engine: the end is reported later.
+        auto const keep = connection->shared_from_this();
+        on_.erase(found);
+        keep->close();
+        asio::post(loop_, [this, attempt]
+                   { client_.on_end(attempt, send_outcome::broken, nullptr,
+                                    "broken off"); });
+        return;
+    }
+    for (auto const& [id, l] : lanes_)
+    {
+        auto const waiting = std::find_if(
+            l->waiting.begin(), l->waiting.end(), [&](order_state const& o)
+            { return o.order.attempt == attempt; });
+        if (waiting != l->waiting.end())
+        {
+            l->waiting.erase(waiting);
+            finish_later(attempt, "");
+            return;
+        }
+    }
+}
+
+void upstream_pool::finish(serving::attempt_handle attempt,
+                           send_outcome outcome, http_message* answer,
+                           char const* cause)
+{
+    if (on_.erase(attempt) > 0)
+    {
+        client_.on_end(attempt, outcome, answer, cause);
+    }
+}
+
+void upstream_pool::finish_later(serving::attempt_handle attempt,
+                                 char const* cause)
+{
+    on_.erase(attempt);
+    asio::post(loop_, [this, attempt, cause]
+               { client_.on_end(attempt, send_outcome::not_sent, nullptr,
+                                cause); });
+}
+
+void upstream_pool::forget(upstream_connection* connection)
+{
+    auto const found = lanes_.find(connection->lane());
+    if (found != lanes_.end())
+    {
+        std::erase_if(found->second->connections, [&](auto const& c)
+                      { return c.get() == connection; });
+    }
+}
+
+void upstream_pool::sweep()
+{
+    time_point const now = time_.now();
+    for (auto it = lanes_.begin(); it != lanes_.end();)
+    {
+        lane& l = *it->second;
+        auto const connections = l.connections;
+        for (auto const& c : connections)
+        {
+            if (c->now() == state::idle &&
+                (now >= c->idle_until() ||
+                 l.to->listed == serving::listing::gone))
+            {
+                c->close();
+            }
+            else if (c->now() == state::connecting &&
+                     now - c->since() >= connect_timeout)
+            {
+                c->expire();
+            }
+        }
+        if (!l.waiting.empty())
+        {
+            dispatch(l);
+        }
+        bool const empty = l.connections.empty() && l.waiting.empty();
+        it = empty ? lanes_.erase(it) : std::next(it);
+    }
+}
+
+pool_figures upstream_pool::figures() const
+{
+    pool_figures f;
+    f.opened = opened_;
+    for (auto const& [id, l] : lanes_)
+    {
+        f.open += l->connections.size();
+        f.idle += static_cast<std::size_t>(std::count_if(
+            l->connections.begin(), l->connections.end(),
+            [](auto const& c) { return c->now() == state::idle; }));
+    }
+    return f;
+}
+
+} // namespace kumquatramp::eventloop
--- /dev/null
+++ b/host/include/host/front_service.hpp
@@ -0,0 +1,117 @@
+// Carries out the request engine's decisions over the event loop.
+#ifndef KUMQUATRAMP_HOST_FRONT_SERVICE_HPP
+#define KUMQUATRAMP_HOST_FRONT_SERVICE_HPP
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <base/clock.hpp>
+#include <eventloop/http_server.hpp>
+#include <eventloop/upstream_pool.hpp>
+#include <host/service_counters.hpp>
+#include <host/wire_profile.hpp>
+#include <memory>
+#include <serving/client_answer.hpp>
+#include <serving/engine_port.hpp>
+#include <serving/request_engine.hpp>
+#include <string>
+#include <unordered_map>
+
+namespace kumquatramp::eventloop
+{
+struct http_message;
+}
+
+namespace kumquatramp::host
+{
+
+class host_log;
+
+/// The path of a request: client, engine, targets, engine, client.
+class front_service final : public eventloop::request_handler,
+                            public eventloop::upstream_client,
+                            public serving::engine_port
+{
+public:
+    front_service(asio::io_context& loop, clock const& time,
+                  wire_profile const& wire, serving::serving_options options,
+                  random_source& random, serving::target_book& book,
+                  serving::fleet_size const& fleet,
+                  serving::warmup_share& warmup, host_log& log);
+    ~front_service() override;
+
+    serving::request_engine& engine() { return engine_; }
+    eventloop::http_server& server() { return server_; }
+    eventloop::upstream_pool& pool() { return pool_; }
+    service_counters const& counters() const { return counters_; }
+
+    /// From now on new requests are refused: this host is about to end.
+    void refuse_new() { refusing_ = true; }
+
+    /// Time limits of connections; call it about ten times a second.
+    void sweep();
+
+    // From clients.
+    void on_request(eventloop::exchange_id exchange,
+                    eventloop::http_message& message) override;
+    void on_client_gone(eventloop::exchange_id exchange) override;
+    std::string rejection(error_kind kind) override;
+
+    // From targets.
+    std::string request_bytes(serving::attempt_handle attempt) override;
+    bool belongs(serving::attempt_handle attempt,
+                 eventloop::http_message const& answer) override;
+    void on_end(serving::attempt_handle attempt,
+                eventloop::send_outcome outcome,
+                eventloop::http_message* answer, char const* cause) override;
+
+    // From the engine.
+    void start_attempt(serving::attempt_order const& order) override;
+    void abandon_attempt(serving::attempt_handle attempt) override;
+    void answer(serving::request_handle request,
+                serving::client_answer answer) override;
+    void log_request(serving::request_handle request, bool failed,
+                     std::string_view story) override;
+
+private:
+    struct exchange_state;
+    struct send_state
+    {
+        serving::request_handle request = 0;
+        std::string request_id;
+        std::string instance;
+        time_point deadline = never;
+        time_point sent_at{};
+    };
+
+    void arm_timer();
+    serving::target_reply read_reply(eventloop::send_outcome outcome,
+                                     eventloop::http_message* answer,
+                                     char const* cause) const;
+    std::string relayed_bytes(exchange_state const& exchange);
+    std::string merged_bytes(serving::client_answer const& answer) const;
+    std::string error_bytes(error_kind kind,
+                            std::optional<duration> retry_after,
+                            bool close) const;
+
+    clock const& time_;
+    wire_profile const& wire_;
+    host_log& log_;
+    service_counters counters_;
+    eventloop::http_server server_;
+    eventloop::upstream_pool pool_;
+    serving::request_engine engine_;
+    asio::steady_timer timer_;
+    time_point armed_for_ = never;
+    bool refusing_ = false;
+    std::unordered_map<serving::request_handle,
+                       std::unique_ptr<exchange_state>>
+        exchanges_;
+    std::unordered_map<serving::attempt_handle, send_state> sends_;
+    // The reply that the engine is looking at; null outside on_end.
+    eventloop::http_message* present_answer_ = nullptr;
+    serving::target_reply* present_reply_ = nullptr;
+};
+
+} // namespace kumquatramp::host
+
+#endif
--- /dev/null
+++ b/host/include/host/platform_adapter.hpp
@@ -0,0 +1,60 @@
+// What differs from platform to platform: names, formats and calls.
+#ifndef KUMQUATRAMP_HOST_PLATFORM_ADAPTER_HPP
+#define KUMQUATRAMP_HOST_PLATFORM_ADAPTER_HPP
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <host/store_change.hpp>
+#include <host/wire_profile.hpp>
+#include <memory>
+#include <optional>
+#include <registry/store_item.hpp>
+#include <registry/store_port.hpp>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace kumquatramp::host
+{
+
+/// How a call to the store ended.
+struct store_events
+{
+    std::function<void(registry::store_answer const&)> answered;
+    std::function<void(registry::store_failure, char const* cause)> failed;
+};
+
+/// Translates and calls; decides nothing.
+class platform_adapter
+{
+public:
+    platform_adapter() = default;
+    platform_adapter(platform_adapter const&) = delete;
+    platform_adapter& operator=(platform_adapter const&) = delete;
+    virtual ~platform_adapter() = default;
+
+    virtual wire_profile const& wire() const = 0;
+
+    virtual std::unique_ptr<registry::store_port>
+    connect_store(asio::io_context& loop, std::string const& address,
+                  store_events events) = 0;
+
+    virtual store_change decode(registry::store_item const& item) const = 0;
+
+    /// The zone of a client that asks which hosts to use; nothing if the
+    /// request asks something else.
+    virtual std::optional<std::string>
+    directory_question(std::string_view method,
+                       std::string_view target) const = 0;
+
+    virtual std::string
+    directory_answer(std::span<std::string const> addresses,
+                     int lifetime_s) const = 0;
+
+    virtual bool is_readiness_question(std::string_view method,
+                                       std::string_view target) const = 0;
+};
+
+} // namespace kumquatramp::host
+
+#endif
--- /dev/null
+++ b/host/src/endpoint.hpp
@@ -0,0 +1,45 @@
+// A small HTTP endpoint that answers at once.
+#ifndef KUMQUATRAMP_HOST_ENDPOINT_HPP
+#define KUMQUATRAMP_HOST_ENDPOINT_HPP
+
+#include <eventloop/http_server.hpp>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace kumquatramp::host
+{
+
+struct endpoint_answer
+{
+    int status = 404;
+    std::string_view content_type = "application/json";
+    std::string body;
+};
+
+/// Readiness, the directory, status and metrics.
+class endpoint final : public eventloop::request_handler
+{
+public:
+    using question = std::function<endpoint_answer(std::string_view method,
+                                                   std::string_view target)>;
+
+    endpoint(asio::io_context& loop, clock const& time, question ask);
+
+    /// Throws std::system_error if the address cannot be bound.
+    void listen(std::string const& address);
+    void sweep() { server_.sweep(); }
+
+    void on_request(eventloop::exchange_id exchange,
+                    eventloop::http_message& message) override;
+    void on_client_gone(eventloop::exchange_id) override {}
+    std::string rejection(error_kind kind) override;
+
+private:
+    eventloop::http_server server_;
+    question ask_;
+};
+
+} // namespace kumquatramp::host
+
+#endif
--- /dev/null
+++ b/registry/src/store_follower.cpp
@@ -0,0 +1,141 @@
+// List, watch, back off.
+#include <algorithm>
+#include <registry/store_follower.hpp>
+#include <registry/store_port.hpp>
+#include <registry/store_sink.hpp>
+
+namespace kumquatramp::registry
+{
+
+namespace
+{
+
+/// Pause after the first failure, doubled with each further one, at most.
+/// The longest is well under the bounds on configuration and draining.
+constexpr duration first_pause = 150ms;
+constexpr duration longest_pause = 1s;
+
+} // namespace
+
+store_follower::store_follower(follower_options options, store_port& port,
+                               store_sink& sink, random_source& random,
+                               serving::belief_log& log)
+    : options_(options)
+    , port_(port)
+    , sink_(sink)
+    , random_(random)
+    , log_(log)
+{
+}
+
+void store_follower::tick(time_point now)
+{
+    if (open_ || now < next_call_)
+    {
+        return;
+    }
+    open_ = true;
+    next_call_ = never;
+    ++calls_;
+    if (!listing_)
+    {
+        port_.watch(revision_, options_.watch_wait);
+        return;
+    }
+    if (after_.empty())
+    {
+        sink_.begin_listing();
+    }
+    port_.list(after_);
+}
+
+void store_follower::on_answer(store_answer const& answer, time_point now)
+{
+    open_ = false;
+    last_contact_ = now;
+    if (failures_ > 0)
+    {
+        log_.note("store.regained", "store",
+                  "after " + std::to_string(failures_) + " failed calls");
+        failures_ = 0;
+    }
+    if (listing_)
+    {
+        take_page(answer, now);
+    }
+    else
+    {
+        take_changes(answer, now);
+    }
+}
+
+void store_follower::take_page(store_answer const& answer, time_point now)
+{
+    if (after_.empty())
+    {
+        // Pages are no snapshot: what changed since the first one is watched.
+        revision_ = answer.revision;
+    }
+    for (auto const& item : answer.items)
+    {
+        sink_.apply(item, now);
+    }
+    next_call_ = now;
+    if (answer.more && !answer.items.empty())
+    {
+        after_ = answer.items.back().key;
+        return;
+    }
+    after_.clear();
+    listing_ = false;
+    sink_.end_listing(now);
+    if (!synchronized_)
+    {
+        synchronized_ = true;
+        log_.note("store.synchronized", "store",
+                  "revision " + std::to_string(revision_));
+    }
+}
+
+void store_follower::take_changes(store_answer const& answer, time_point now)
+{
+    for (auto const& item : answer.items)
+    {
+        sink_.apply(item, now);
+    }
+    revision_ = std::max(revision_, answer.revision);
+    next_call_ = answer.items.empty() ? now : now + options_.pace;
+}
+
+void store_follower::on_failure(store_failure failure, char const* cause,
+                                time_point now)
+{
+    open_ = false;
+    if (failure == store_failure::history_lost)
+    {
+        log_.note("store.history_lost", "store", "listing again");
+        last_contact_ = now;
+        listing_ = true;
+        after_.clear();
+        next_call_ = now;
+        return;
+    }
+    ++failures_;
+    if (failures_ == 1)
+    {
+        log_.note("store.lost", "store", cause);
+    }
+    duration const pause = std::min<duration>(
+        first_pause * (1 << std::min(failures_ - 1, 6)), longest_pause);
+    next_call_ = now + std::chrono::duration_cast<duration>(
+                           pause * (0.75 + 0.5 * random_.unit()));
+}
+
+void store_follower::restart(time_point now)
+{
+    port_.cancel();
+    open_ = false;
+    next_call_ = now;
+}
+
+} // namespace kumquatramp::registry
--- /dev/null
+++ b/serving/include/serving/route.hpp
@@ -0,0 +1,41 @@
+// A route: which requests it takes and how they are served.
+#ifndef KUMQUATRAMP_SERVING_ROUTE_HPP
+#define KUMQUATRAMP_SERVING_ROUTE_HPP
+
+#include <base/time.hpp>
+#include <string>
+#include <vector>
+
+namespace kumquatramp::serving
+{
+
+/// One service of a weighted distribution.
+struct split_part
+{
+    std::string service;
+    double weight = 1.0;
+};
+
+/// A route as the operator configured it. Exactly one of `split` and `shards`
+/// is non-empty: a request goes to one service, or to all shards.
+struct route
+{
+    std::string name;
+    std::string host;
+    std::string prefix; ///< begins and ends with a slash
+    bool idempotent = false;
+    duration timeout{};           ///< longest wait before the final answer
+    duration latency_objective{}; ///< answers within it earn full credit
+    int priority = 0;             ///< 0 is the highest
+    int max_attempts = 1;         ///< targets one request may be sent to
+    std::vector<split_part> split;
+    std::vector<std::string> shards;
+    int top_records = 0;       ///< records that a merged answer holds
+    double min_coverage = 1.0; ///< least share of shards for a success
+
+    bool scatters() const { return !shards.empty(); }
+};
+
+} // namespace kumquatramp::serving
+
+#endif
--- /dev/null
+++ b/serving/include/serving/target_book.hpp
@@ -0,0 +1,105 @@
+// All targets by service, and the choice among a service's replicas.
+#ifndef KUMQUATRAMP_SERVING_TARGET_BOOK_HPP
+#define KUMQUATRAMP_SERVING_TARGET_BOOK_HPP
+
+#include <base/random_source.hpp>
+#include <base/time.hpp>
+#include <map>
+#include <memory>
+#include <serving/target.hpp>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace kumquatramp::serving
+{
+
+class belief_log;
+
+/// Follows the registry and the evidence of this host's own requests. Own
+/// evidence weighs more than the registry or health answers.
+///
+///     target_book book("zone-a", random, log);
+///     book.put(record, now);
+///     auto t = book.choose("shard-1", 20ms, {}, now);
+class target_book
+{
+public:
+    /// Entries that have gone are kept as a last resort for `unlisted_hold`:
+    /// they may be back after an outage of the registry.
+    target_book(std::string own_zone, duration unlisted_hold,
+                random_source& random, belief_log& log);
+
+    /// The registry lists this target, new or changed.
+    void put(target_record record, time_point now);
+
+    /// The registry's entry has gone.
+    void remove(std::string_view id, time_point now);
+
+    /// A whole listing of the registry: what it lacks has gone.
+    void retain(std::set<std::string, std::less<>> const& listed,
+                time_point now);
+
+    void evacuate(std::string zone, time_point now);
+    void end_evacuation(std::string const& zone, time_point now);
+    /// The zones that are evacuated now; all others are not.
+    void set_evacuated(std::set<std::string> zones, time_point now);
+
+    /// Moves unlisted targets to gone when their hold has passed.
+    void tick(time_point now);
+
+    /// The replica with the least expected latency, or null. `usual` is the
+    /// route's usual latency. `tried` are left out.
+    std::shared_ptr<target> choose(std::string_view service, duration usual,
+                                   std::span<target const* const> tried,
+                                   time_point now);
+
+    /// Like choose, for a second send while the first goes on: only targets
+    /// that are expected to answer promptly.
+    std::shared_ptr<target>
+    choose_prompt(std::string_view service, duration usual,
+                  std::span<target const* const> tried, time_point now);
+
+    /// Whether a request may be sent to this target at this moment.
+    bool may_send(target const& t) const;
+
+    /// Whether any target of the service may receive a request.
+    bool has_usable(std::string_view service) const;
+
+    void count_success(target& t, duration latency, duration usual,
+                       time_point now);
+    /// The target failed, refused or broke the connection.
+    void count_failure(target& t, time_point now);
+    void report_load(target& t, int busy, time_point now);
+    /// The target says itself that it is leaving.
+    void mark_leaving(target& t, time_point now);
+    void mark_cold(target& t, duration left, time_point now);
+
+    std::size_t size() const { return by_id_.size(); }
+    std::span<std::shared_ptr<target> const>
+    replicas(std::string_view service) const;
+    std::size_t usable_count() const;
+
+private:
+    std::shared_ptr<target> pick(std::string_view service, duration usual,
+                                 std::span<target const* const> tried,
+                                 bool prompt_only, time_point now);
+    double expected_ms(target const& t, double usual_ms, time_point now);
+    void drop(std::shared_ptr<target> const& t, std::string_view cause);
+
+    std::string own_zone_;
+    duration unlisted_hold_;
+    random_source& random_;
+    belief_log& log_;
+    std::unordered_map<std::string, std::shared_ptr<target>> by_id_;
+    std::map<std::string, std::vector<std::shared_ptr<target>>, std::less<>>
+        by_service_;
+    std::set<std::string> evacuated_;
+};
+
+} // namespace kumquatramp::serving
+
+#endif
--- /dev/null
+++ b/serving/include/serving/target_record.hpp
@@ -0,0 +1,26 @@
+// What the registry says of a target.
+#ifndef KUMQUATRAMP_SERVING_TARGET_RECORD_HPP
+#define KUMQUATRAMP_SERVING_TARGET_RECORD_HPP
+
+#include <base/time.hpp>
+#include <cstdint>
+#include <string>
+
+namespace kumquatramp::serving
+{
+
+struct target_record
+{
+    std::string id; ///< the instance that runs at the address
+    std::string service;
+    std::string address; ///< IP:port
+    std::string zone;
+    int slots = 1;
+    bool draining = false;
+    duration warmup_left{};
+    std::int64_t born_ms = 0; ///< start of the incarnation, by its own clock
+};
+
+} // namespace kumquatramp::serving
+
+#endif
--- /dev/null
+++ b/serving/src/details/engine_details.cpp
@@ -0,0 +1,419 @@
+// Admission, timers and the end of requests.
+#include "details/engine_details.hpp"
+#include <algorithm>
+#include <base/error_answer.hpp>
+#include <cmath>
+#include <serving/client_answer.hpp>
+#include <serving/fleet_size.hpp>
+#include <serving/part_merge.hpp>
+#include <serving/target_book.hpp>
+
+namespace kumquatramp::serving
+{
+
+namespace
+{
+
+long long ms_between(time_point from, time_point to)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from)
+        .count();
+}
+
+} // namespace
+
+request_engine::details::details(serving_options options,
+                                 random_source& random, target_book& book,
+                                 fleet_size const& fleet, warmup_share& warmup,
+                                 engine_port& port)
+    : options_(options)
+    , random_(random)
+    , book_(book)
+    , fleet_(fleet)
+    , warmup_(warmup)
+    , port_(port)
+{
+}
+
+route_statistics& request_engine::details::statistics(route const& on)
+{
+    return statistics_.try_emplace(on.name, on.latency_objective)
+        .first->second;
+}
+
+retry_budget& request_engine::details::budget(std::string_view service)
+{
+    auto found = budgets_.find(service);
+    if (found == budgets_.end())
+    {
+        found = budgets_.emplace(std::string(service), retry_budget{}).first;
+        found->second.configure(options_.retry_ratio, options_.retry_slack,
+                                options_.retry_window);
+    }
+    return found->second;
+}
+
+void request_engine::details::refuse(request_handle request, error_kind error)
+{
+    client_answer refusal;
+    refusal.error = error;
+    if (answer_of(error).retry_after)
+    {
+        bool const unready =
+            error == error_kind::not_ready || error == error_kind::no_target;
+        duration const base = unready ? options_.unready_retry_after
+                                      : options_.busy_retry_after;
+        // Spread, so that refused clients do not all return at once.
+        refusal.retry_after = std::chrono::duration_cast<duration>(
+            base * (0.75 + 0.5 * random_.unit()));
+    }
+    port_.answer(request, std::move(refusal));
+}
+
+void request_engine::details::submit(client_request const& request,
+                                     time_point now)
+{
+    if (!catalogue_)
+    {
+        refuse(request.handle, error_kind::not_ready);
+        port_.log_request(request.handle, true,
+                          "refused: no configuration yet");
+        return;
+    }
+    route const* on = catalogue_->find(request.host, request.path);
+    if (on == nullptr)
+    {
+        refuse(request.handle, error_kind::unknown_path);
+        port_.log_request(request.handle, true,
+                          "refused: no route in version " +
+                              std::to_string(catalogue_->version()));
+        return;
+    }
+    if (requests_.size() >= options_.max_in_progress)
+    {
+        refuse(request.handle, error_kind::overloaded);
+        port_.log_request(request.handle, true,
+                          "refused: too many requests in progress");
+        return;
+    }
+    admit(request, *on, now);
+}
+
+std::string const& request_engine::details::choose_service(route const& on)
+{
+    double total = 0;
+    for (auto const& part : on.split)
+    {
+        total += part.weight;
+    }
+    double at = random_.unit() * total;
+    for (auto const& part : on.split)
+    {
+        at -= part.weight;
+        if (at < 0)
+        {
+            return part.service;
+        }
+    }
+    return on.split.back().service;
+}
+
+void request_engine::details::admit(client_request const& request,
+                                    route const& on, time_point now)
+{
+    running_request r;
+    r.handle = request.handle;
+    r.catalogue = catalogue_;
+    r.on = &on;
+    r.arrived = now;
+    duration wait = on.timeout;
+    duration spent{};
+    if (request.time_left > duration::zero())
+    {
+        wait = std::min(wait, request.time_left);
+        spent = statistics(on).spent_before(request.time_left);
+    }
+    r.deadline = now + wait;
+    r.settle_at = now + std::max(on.latency_objective - spent -
+                                     options_.answer_margin,
+                                 on.latency_objective / 4);
+    if (on.scatters())
+    {
+        for (auto const& service : on.shards)
+        {
+            r.shards.push_back({.service = service});
+        }
+    }
+    else
+    {
+        r.shards.push_back({.service = choose_service(on)});
+    }
+    int reachable = 0;
+    for (auto const& s : r.shards)
+    {
+        budget(s.service).count_request(now);
+        reachable += book_.has_usable(s.service) ? 1 : 0;
+    }
+    if (reachable < needed(r))
+    {
+        refuse(r.handle, error_kind::no_target);
+        port_.log_request(r.handle, true, story(r, "refused: no target", now));
+        return;
+    }
+    auto& running = requests_.emplace(r.handle, std::move(r)).first->second;
+    timers_.push({running.deadline, timer_kind::request_expires,
+                  running.handle});
+    if (on.scatters() && running.settle_at < running.deadline)
+    {
+        timers_.push({running.settle_at, timer_kind::request_settles,
+                      running.handle});
+    }
+    for (std::size_t i = 0; i < running.shards.size(); ++i)
+    {
+        if (!send(running, i, false, now))
+        {
+            running.shards[i].now = shard_state::lost;
+            running.shards[i].cause = "no target";
+        }
+    }
+    settle(running, now);
+    release(request.handle);
+}
+
+int request_engine::details::needed(running_request const& r) const
+{
+    if (!r.on->scatters())
+    {
+        return 1;
+    }
+    constexpr double rounding = 1e-9;
+    auto const shards = static_cast<double>(r.shards.size());
+    return std::max(
+        1, static_cast<int>(std::ceil(r.on->min_coverage * shards - rounding)));
+}
+
+void request_engine::details::settle(running_request& r, time_point now)
+{
+    if (r.finished)
+    {
+        return;
+    }
+    int const in = r.count(shard_state::answered);
+    int const lost = r.count(shard_state::lost);
+    int const total = static_cast<int>(r.shards.size());
+    int const need = needed(r);
+    if (!r.on->scatters())
+    {
+        if (lost > 0)
+        {
+            fail(r, error_kind::target_failed, now);
+        }
+        return;
+    }
+    if (total - lost < need)
+    {
+        fail(r, error_kind::target_failed, now);
+        return;
+    }
+    if (in >= need && (in + lost == total || now >= r.settle_at))
+    {
+        answer_merged(r, now);
+    }
+}
+
+void request_engine::details::answer_merged(running_request& r, time_point now)
+{
+    client_answer merged;
+    merged.what = client_answer::form::merged;
+    std::vector<std::string const*> parts;
+    for (auto const& s : r.shards)
+    {
+        if (s.now != shard_state::answered)
+        {
+            ++merged.missing_parts;
+            continue;
+        }
+        parts.push_back(&s.part);
+        if (!merged.part_stamps.empty())
+        {
+            merged.part_stamps += ", ";
+        }
+        merged.part_stamps += s.stamp;
+    }
+    merged.body =
+        merge_parts(parts, static_cast<std::size_t>(r.on->top_records));
+    bool const partial = merged.missing_parts > 0;
+    port_.answer(r.handle, std::move(merged));
+    finish(r, false, partial ? "answered in part" : "answered", now);
+}
+
+void request_engine::details::fail(running_request& r, error_kind error,
+                                   time_point now)
+{
+    bool const certain =
+        !r.may_have_run() && r.outstanding == 0 &&
+        (error == error_kind::target_failed ||
+         error == error_kind::target_timeout);
+    if (certain && now < r.deadline)
+    {
+        error = error_kind::overloaded;
+    }
+    refuse(r.handle, error);
+    finish(r, true, answer_of(error).code, now);
+}
+
+void request_engine::details::finish(running_request& r, bool failed,
+                                     std::string_view outcome, time_point now)
+{
+    r.finished = true;
+    bool const partial = r.on->scatters() &&
+                         r.count(shard_state::answered) <
+                             static_cast<int>(r.shards.size());
+    bool const late = now - r.arrived > r.on->latency_objective;
+    if (failed || partial || late)
+    {
+        port_.log_request(r.handle, failed, story(r, outcome, now));
+    }
+    for (auto& s : r.shards)
+    {
+        s.part.clear();
+    }
+}
+
+void request_engine::details::release(request_handle request)
+{
+    auto const found = requests_.find(request);
+    if (found != requests_.end() && found->second.finished &&
+        found->second.outstanding == 0)
+    {
+        requests_.erase(found);
+    }
+}
+
+std::string request_engine::details::story(running_request const& r,
+                                           std::string_view outcome,
+                                           time_point now) const
+{
+    std::string text(outcome);
+    text += " after " + std::to_string(ms_between(r.arrived, now)) +
+            " ms; route " + r.on->name + " of version " +
+            std::to_string(r.catalogue->version());
+    for (auto const& s : r.shards)
+    {
+        if (s.now == shard_state::answered)
+        {
+            continue;
+        }
+        text += "; ";
+        text += s.service;
+        text += s.now == shard_state::lost ? " lost" : " waiting";
+        for (auto const& t : s.tries)
+        {
+            text += t.state == try_state::refused   ? " refused-by "
+                    : t.state == try_state::unsent ? " unsent-to "
+                                                   : " sent-to ";
+            text += t.to->record.id;
+            if (t.to->overdue > 0)
+            {
+                text += "(overdue)";
+            }
+        }
+        if (s.cause[0] != '\0')
+        {
+            text += " last: ";
+            text += s.cause;
+        }
+        if (s.status != 0)
+        {
+            text += " status " + std::to_string(s.status);
+        }
+    }
+    return text;
+}
+
+void request_engine::details::client_gone(request_handle request,
+                                          time_point now)
+{
+    auto const found = requests_.find(request);
+    if (found == requests_.end())
+    {
+        return;
+    }
+    running_request& r = found->second;
+    if (!r.finished)
+    {
+        finish(r, true, "client left", now);
+    }
+    if (r.on->idempotent)
+    {
+        for (auto& [id, a] : attempts_)
+        {
+            if (a.request == request && !a.abandoned)
+            {
+                a.abandoned = true;
+                port_.abandon_attempt(id);
+            }
+        }
+    }
+    release(request);
+}
+
+void request_engine::details::tick(time_point now)
+{
+    while (!timers_.empty() && timers_.top().at <= now)
+    {
+        timer const due = timers_.top();
+        timers_.pop();
+        switch (due.kind)
+        {
+        case timer_kind::attempt_overdue:
+            on_overdue(due.subject, now);
+            break;
+        case timer_kind::attempt_expired:
+            on_attempt_expired(due.subject);
+            break;
+        case timer_kind::request_settles:
+            if (auto const r = requests_.find(due.subject);
+                r != requests_.end())
+            {
+                settle(r->second, now);
+                release(due.subject);
+            }
+            break;
+        case timer_kind::request_expires:
+            on_expired(due.subject, now);
+            break;
+        }
+    }
+}
+
+void request_engine::details::on_attempt_expired(attempt_handle attempt)
+{
+    auto const found = attempts_.find(attempt);
+    if (found != attempts_.end())
+    {
+        port_.abandon_attempt(attempt);
+    }
+}
+
+void request_engine::details::on_expired(request_handle request,
+                                         time_point now)
+{
+    auto const found = requests_.find(request);
+    if (found == requests_.end() || found->second.finished)
+    {
+        return;
+    }
+    running_request& r = found->second;
+    if (r.on->scatters() && r.count(shard_state::answered) >= needed(r))
+    {
+        answer_merged(r, now);
+    }
+    else
+    {
+        fail(r, error_kind::target_timeout, now);
+    }
+    release(request);
+}
+
+} // namespace kumquatramp::serving
--- /dev/null
+++ b/serving/src/details/engine_details.hpp
@@ -0,0 +1,90 @@
+// The state and the steps of the request engine.
+#ifndef KUMQUATRAMP_SERVING_DETAILS_ENGINE_DETAILS_HPP
+#define KUMQUATRAMP_SERVING_DETAILS_ENGINE_DETAILS_HPP
+
+#include "details/route_statistics.hpp"
+#include "details/running_request.hpp"
+#include "details/timer_queue.hpp"
+#include <base/error_kind.hpp>
+#include <map>
+#include <serving/request_engine.hpp>
+#include <serving/retry_budget.hpp>
+#include <unordered_map>
+
+namespace kumquatramp::serving
+{
+
+class request_engine::details
+{
+public:
+    details(serving_options options, random_source& random, target_book& book,
+            fleet_size const& fleet, warmup_share& warmup, engine_port& port);
+
+    void submit(client_request const& request, time_point now);
+    void client_gone(request_handle request, time_point now);
+    void on_reply(attempt_handle attempt, target_reply& reply, time_point now);
+    bool may_send(attempt_handle attempt, time_point now) const;
+    void tick(time_point now);
+
+    std::shared_ptr<route_catalogue const> catalogue_;
+    serving_options options_;
+    timer_queue timers_;
+    std::unordered_map<request_handle, running_request> requests_;
+
+private:
+    using shard_state = shard_progress::state;
+
+    void refuse(request_handle request, error_kind error);
+    void admit(client_request const& request, route const& on, time_point now);
+    std::string const& choose_service(route const& on);
+
+    /// Sends to one more target; false if there is none that may take it.
+    bool send(running_request& r, std::size_t shard, bool prompt_only,
+              time_point now);
+    std::shared_ptr<target> choose(running_request& r, shard_progress& s,
+                                   bool prompt_only, time_point now);
+    std::shared_ptr<target> refused_before(shard_progress const& s) const;
+    bool bears(target const& t, running_request const& r, time_point now);
+    int connection_limit(running_request const& r, target const& t,
+                         time_point now) const;
+
+    void learn(running_attempt const& a, target_reply const& reply,
+               running_request const* r, time_point now);
+    void take_reply(running_request& r, shard_progress& s,
+                    attempt_handle attempt, target_reply& reply,
+                    time_point now);
+    bool relay(running_request& r, attempt_handle attempt,
+               target_reply const& reply, time_point now);
+    void retry_or_lose(running_request& r, std::size_t shard, time_point now);
+    bool may_repeat(running_request const& r, shard_progress const& s) const;
+    void settle(running_request& r, time_point now);
+    void answer_merged(running_request& r, time_point now);
+    void fail(running_request& r, error_kind error, time_point now);
+    void finish(running_request& r, bool failed, std::string_view outcome,
+                time_point now);
+    void release(request_handle request);
+
+    void on_overdue(attempt_handle attempt, time_point now);
+    void on_attempt_expired(attempt_handle attempt);
+    void on_expired(request_handle request, time_point now);
+
+    int needed(running_request const& r) const;
+    route_statistics& statistics(route const& on);
+    retry_budget& budget(std::string_view service);
+    std::string story(running_request const& r, std::string_view outcome,
+                      time_point now) const;
+
+    random_source& random_;
+    target_book& book_;
+    fleet_size const& fleet_;
+    warmup_share& warmup_;
+    engine_port& port_;
+    std::unordered_map<attempt_handle, running_attempt> attempts_;
+    std::map<std::string, route_statistics, std::less<>> statistics_;
+    std::map<std::string, retry_budget, std::less<>> budgets_;
+    attempt_handle last_attempt_ = 0;
+};
+
+} // namespace kumquatramp::serving
+
+#endif
--- /dev/null
+++ b/serving/src/details/engine_sends.cpp
@@ -0,0 +1,375 @@
+// Sends, hedges, retries and what replies teach.
+#include "details/engine_details.hpp"
+#include <algorithm>
+#include <serving/client_answer.hpp>
+#include <serving/fleet_size.hpp>
+#include <serving/target_book.hpp>
+#include <serving/warmup_share.hpp>
+
+namespace kumquatramp::serving
+{
+
+namespace
+{
+
+/// Share of a target's connections that the fleet uses: hosts may disagree on
+/// the fleet's size for a moment.
+constexpr double connection_share = 0.8;
+/// Connections to a target without a stated limit.
+constexpr int unlimited_connections = 32;
+
+/// A target that has not answered so long after an attempt's deadline will
+/// not: it stops work at the deadline itself.
+constexpr duration expiry_slack = 250ms;
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Statuses with which this system promises that nothing has run.
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+bool request_engine::details::bears(target const& t, running_request const& r,
+                                    time_point now)
+{
+    if (now >= t.cold_until)
+    {
+        return true;
+    }
+    backend_service const* service = r.catalogue->service(t.record.service);
+    if (service == nullptr || service->warmup_rate <= 0)
+    {
+        return true;
+    }
+    return warmup_.spend(t.record.id, service->warmup_rate,
+                         fleet_.rank(t.record.id, now), fleet_.hosts(now),
+                         now);
+}
+
+std::shared_ptr<target>
+request_engine::details::refused_before(shard_progress const& s) const
+{
+    std::shared_ptr<target> best;
+    for (auto const& t : s.tries)
+    {
+        if (t.state == try_state::refused && book_.may_send(*t.to) &&
+            (!best || t.to->failure_share < best->failure_share))
+        {
+            best = t.to;
+        }
+    }
+    return best;
+}
+
+std::shared_ptr<target>
+request_engine::details::choose(running_request& r, shard_progress& s,
+                                bool prompt_only, time_point now)
+{
+    if (s.targets_used() >= r.on->max_attempts)
+    {
+        // No further target is allowed; one that refused may have room now.
+        return prompt_only ? nullptr : refused_before(s);
+    }
+    std::vector<target const*> left_out;
+    for (auto const& t : s.tries)
+    {
+        left_out.push_back(t.to.get());
+    }
+    duration const usual = statistics(*r.on).latency.usual();
+    for (;;)
+    {
+        auto t = prompt_only
+                     ? book_.choose_prompt(s.service, usual, left_out, now)
+                     : book_.choose(s.service, usual, left_out, now);
+        if (!t)
+        {
+            return prompt_only ? nullptr : refused_before(s);
+        }
+        if (bears(*t, r, now))
+        {
+            return t;
+        }
+        left_out.push_back(t.get());
+    }
+}
+
+int request_engine::details::connection_limit(running_request const& r,
+                                              target const& t,
+                                              time_point now) const
+{
+    backend_service const* service = r.catalogue->service(t.record.service);
+    if (service == nullptr || service->max_connections <= 0)
+    {
+        return unlimited_connections;
+    }
+    double const share = service->max_connections * connection_share /
+                         std::max(fleet_.hosts(now), 1);
+    return std::max(1, static_cast<int>(share));
+}
+
+bool request_engine::details::send(running_request& r, std::size_t shard,
+                                   bool prompt_only, time_point now)
+{
+    shard_progress& s = r.shards[shard];
+    auto to = choose(r, s, prompt_only, now);
+    if (!to)
+    {
+        return false;
+    }
+    auto const before =
+        std::find_if(s.tries.begin(), s.tries.end(),
+                     [&](target_try const& t) { return t.to == to; });
+    if (before == s.tries.end())
+    {
+        s.tries.push_back({to, try_state::sent});
+    }
+    else
+    {
+        before->state = try_state::sent;
+    }
+    ++s.sends;
+    ++s.outstanding;
+    ++r.outstanding;
+    ++to->in_flight;
+    attempt_handle const id = ++last_attempt_;
+    attempts_.emplace(id, running_attempt{.request = r.handle,
+                                          .shard = shard,
+                                          .to = to,
+                                          .started = now,
+                                          .deadline = r.deadline});
+    timers_.push({now + statistics(*r.on).latency.overdue_after(),
+                  timer_kind::attempt_overdue, id});
+    timers_.push(
+        {r.deadline + expiry_slack, timer_kind::attempt_expired, id});
+    port_.start_attempt({.attempt = id,
+                         .request = r.handle,
+                         .to = to,
+                         .connection_limit = connection_limit(r, *to, now),
+                         .deadline = r.deadline,
+                         .repeatable = r.on->idempotent});
+    return true;
+}
+
+bool request_engine::details::may_send(attempt_handle attempt,
+                                       time_point now) const
+{
+    auto const a = attempts_.find(attempt);
+    if (a == attempts_.end() || a->second.abandoned)
+    {
+        return false;
+    }
+    auto const r = requests_.find(a->second.request);
+    return r != requests_.end() && !r->second.finished &&
+           r->second.shards[a->second.shard].now == shard_state::waiting &&
+           now < r->second.deadline && book_.may_send(*a->second.to);
+}
+
+void request_engine::details::learn(running_attempt const& a,
+                                    target_reply const& reply,
+                                    running_request const* r, time_point now)
+{
+    target& t = *a.to;
+    --t.in_flight;
+    t.overdue -= a.overdue ? 1 : 0;
+    if (reply.busy)
+    {
+        book_.report_load(t, *reply.busy, now);
+    }
+    if (reply.leaving)
+    {
+        book_.mark_leaving(t, now);
+    }
+    bool const good = reply.kind == reply_kind::answered && reply.stamped &&
+                      reply.status < 500;
+    if (!good)
+    {
+        bool const own_doing =
+            (a.abandoned && now < a.deadline) ||
+            (reply.kind == reply_kind::not_sent && reply.cause[0] == '\0');
+        if (!own_doing)
+        {
+            book_.count_failure(t, now);
+        }
+        return;
+    }
+    if (r == nullptr)
+    {
+        return;
+    }
+    auto& latency = statistics(*r->on).latency;
+    duration const took = now - a.started;
+    book_.count_success(t, took, latency.usual(), now);
+    latency.add(took);
+}
+
+void request_engine::details::on_reply(attempt_handle attempt,
+                                       target_reply& reply, time_point now)
+{
+    auto const found = attempts_.find(attempt);
+    if (found == attempts_.end())
+    {
+        return;
+    }
+    running_attempt const a = found->second;
+    attempts_.erase(found);
+    auto const entry = requests_.find(a.request);
+    running_request* r = entry == requests_.end() ? nullptr : &entry->second;
+    learn(a, reply, r, now);
+    if (r == nullptr)
+    {
+        return;
+    }
+    shard_progress& s = r->shards[a.shard];
+    --s.outstanding;
+    --r->outstanding;
+    auto const tried =
+        std::find_if(s.tries.begin(), s.tries.end(),
+                     [&](target_try const& t) { return t.to == a.to; });
+    if (reply.kind == reply_kind::not_executed)
+    {
+        tried->state = try_state::refused;
+    }
+    else if (reply.kind == reply_kind::not_sent)
+    {
+        tried->state = try_state::unsent;
+    }
+    else
+    {
+        s.may_have_run = true;
+    }
+    if (!r->finished && s.now == shard_state::waiting)
+    {
+        take_reply(*r, s, attempt, reply, now);
+    }
+    release(a.request);
+}
+
+void request_engine::details::take_reply(running_request& r,
+                                         shard_progress& s,
+                                         attempt_handle attempt,
+                                         target_reply& reply, time_point now)
+{
+    bool const good = reply.kind == reply_kind::answered && reply.stamped &&
+                      is_success(reply.status);
+    if (good && r.on->scatters())
+    {
+        s.now = shard_state::answered;
+        s.stamp = std::move(reply.stamp);
+        s.part = std::move(reply.body);
+        settle(r, now);
+        return;
+    }
+    s.cause = reply.cause;
+    s.status = reply.status;
+    if (!r.on->scatters() && relay(r, attempt, reply, now))
+    {
+        return;
+    }
+    retry_or_lose(r, static_cast<std::size_t>(&s - r.shards.data()), now);
+}
+
+bool request_engine::details::relay(running_request& r, attempt_handle attempt,
+                                    target_reply const& reply, time_point now)
+{
+    if (reply.kind != reply_kind::answered || !reply.stamped ||
+        promises_not_run(reply.status))
+    {
+        return false;
+    }
+    shard_progress& s = r.shards.front();
+    bool const server_fault = reply.status >= 500;
+    if (server_fault && (s.outstanding > 0 || may_repeat(r, s)))
+    {
+        return false;
+    }
+    s.now = is_success(reply.status) ? shard_state::answered
+                                     : shard_state::lost;
+    client_answer relayed;
+    relayed.what = client_answer::form::relayed;
+    relayed.attempt = attempt;
+    port_.answer(r.handle, std::move(relayed));
+    finish(r, server_fault, "relayed", now);
+    return true;
+}
+
+bool request_engine::details::may_repeat(running_request const& r,
+                                         shard_progress const& s) const
+{
+    if (s.sends >= options_.max_sends)
+    {
+        return false;
+    }
+    if (s.may_have_run && !r.on->idempotent)
+    {
+        return false;
+    }
+    return s.targets_used() < r.on->max_attempts || refused_before(s);
+}
+
+void request_engine::details::retry_or_lose(running_request& r,
+                                            std::size_t shard, time_point now)
+{
+    shard_progress& s = r.shards[shard];
+    if (s.outstanding > 0)
+    {
+        return;
+    }
+    // Only a send that arrived makes the next one an extra arrival.
+    bool const arrived = s.targets_used() > 0;
+    if (may_repeat(r, s) &&
+        (!arrived || budget(s.service).spend(retry_budget::use::retry,
+                                             fleet_.hosts(now), now)) &&
+        send(r, shard, false, now))
+    {
+        return;
+    }
+    s.now = shard_state::lost;
+    settle(r, now);
+}
+
+void request_engine::details::on_overdue(attempt_handle attempt,
+                                         time_point now)
+{
+    auto const found = attempts_.find(attempt);
+    if (found == attempts_.end())
+    {
+        return;
+    }
+    running_attempt& a = found->second;
+    if (!a.overdue)
+    {
+        a.overdue = true;
+        ++a.to->overdue;
+    }
+    auto const entry = requests_.find(a.request);
+    if (entry == requests_.end() || entry->second.finished)
+    {
+        return;
+    }
+    running_request& r = entry->second;
+    std::size_t const shard = a.shard;
+    shard_progress& s = r.shards[shard];
+    if (!r.on->idempotent || s.now != shard_state::waiting ||
+        s.outstanding > 1 || s.sends >= options_.max_sends)
+    {
+        return;
+    }
+    auto& extras = budget(s.service);
+    int const hosts = fleet_.hosts(now);
+    if (extras.left(retry_budget::use::hedge, hosts, now) >= 1.0 &&
+        send(r, shard, true, now))
+    {
+        extras.spend(retry_budget::use::hedge, hosts, now);
+        return;
+    }
+    timers_.push({now + statistics(*r.on).latency.usual(),
+                  timer_kind::attempt_overdue, attempt});
+}
+
+} // namespace kumquatramp::serving
--- /dev/null
+++ b/serving/src/details/running_request.hpp
@@ -0,0 +1,104 @@
+// A request in progress and its sends, shard by shard.
+#ifndef KUMQUATRAMP_SERVING_DETAILS_RUNNING_REQUEST_HPP
+#define KUMQUATRAMP_SERVING_DETAILS_RUNNING_REQUEST_HPP
+
+#include <algorithm>
+#include <base/time.hpp>
+#include <memory>
+#include <serving/engine_port.hpp>
+#include <serving/route_catalogue.hpp>
+#include <serving/target.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kumquatramp::serving
+{
+
+/// What came of a send to one target.
+enum class try_state
+{
+    sent,    ///< in flight, answered or broken: it may have run
+    refused, ///< the target says that it did not run it
+    unsent,  ///< never left this host
+};
+
+struct target_try
+{
+    std::shared_ptr<target> to{};
+    try_state state = try_state::sent;
+};
+
+/// One shard of a scattered query, or the one service of a plain request.
+struct shard_progress
+{
+    enum class state
+    {
+        waiting,
+        answered,
+        lost, ///< given up: nothing more will be sent
+    };
+
+    std::string_view service; // owned by the request's catalogue
+    state now = state::waiting;
+    std::vector<target_try> tries{};
+    int sends = 0;
+    int outstanding = 0;
+    bool may_have_run = false;
+    std::string stamp{};
+    std::string part{};
+    char const* cause = ""; ///< of the last failed send
+    int status = 0;         ///< of the last failed send
+
+    /// Targets that the request was handed to.
+    int targets_used() const
+    {
+        return static_cast<int>(
+            std::count_if(tries.begin(), tries.end(), [](target_try const& t)
+                          { return t.state != try_state::unsent; }));
+    }
+};
+
+struct running_request
+{
+    request_handle handle = 0;
+    std::shared_ptr<route_catalogue const> catalogue;
+    route const* on = nullptr; // owned by catalogue
+    time_point arrived{};
+    time_point settle_at{}; ///< from here on a partial answer will do
+    time_point deadline = never;
+    bool finished = false; ///< answered, or the client has left
+    int outstanding = 0;   ///< attempts whose end is not known
+    std::vector<shard_progress> shards;
+
+    int count(shard_progress::state state) const
+    {
+        return static_cast<int>(
+            std::count_if(shards.begin(), shards.end(),
+                          [=](shard_progress const& s)
+                          { return s.now == state; }));
+    }
+
+    bool may_have_run() const
+    {
+        return std::any_of(shards.begin(), shards.end(),
+                           [](shard_progress const& s)
+                           { return s.may_have_run; });
+    }
+};
+
+/// One send of a request.
+struct running_attempt
+{
+    request_handle request = 0;
+    std::size_t shard = 0;
+    std::shared_ptr<target> to{};
+    time_point started{};
+    time_point deadline = never;
+    bool overdue = false;   ///< counted in to->overdue
+    bool abandoned = false; ///< this host broke it off
+};
+
+} // namespace kumquatramp::serving
+
+#endif
--- /dev/null
+++ b/serving/src/request_engine.cpp
@@ -0,0 +1,76 @@
+// The public face of the engine.
+#include "details/engine_details.hpp"
+#include <serving/request_engine.hpp>
+
+namespace kumquatramp::serving
+{
+
+request_engine::request_engine(serving_options options, random_source& random,
+                               target_book& book, fleet_size const& fleet,
+                               warmup_share& warmup, engine_port& port)
+    : details_(std::make_unique<details>(options, random, book, fleet, warmup,
+                                         port))
+{
+}
+
+request_engine::~request_engine() = default;
+
+bool request_engine::set_catalogue(
+    std::shared_ptr<route_catalogue const> catalogue)
+{
+    auto& present = details_->catalogue_;
+    if (present && catalogue->version() <= present->version())
+    {
+        return false;
+    }
+    present = std::move(catalogue);
+    return true;
+}
+
+route_catalogue const* request_engine::catalogue() const
+{
+    return details_->catalogue_.get();
+}
+
+void request_engine::set_options(serving_options const& options)
+{
+    details_->options_ = options;
+}
+
+void request_engine::submit(client_request const& request, time_point now)
+{
+    details_->submit(request, now);
+}
+
+void request_engine::client_gone(request_handle request, time_point now)
+{
+    details_->client_gone(request, now);
+}
+
+void request_engine::on_reply(attempt_handle attempt, target_reply& reply,
+                              time_point now)
+{
+    details_->on_reply(attempt, reply, now);
+}
+
+bool request_engine::may_send(attempt_handle attempt, time_point now) const
+{
+    return details_->may_send(attempt, now);
+}
+
+void request_engine::tick(time_point now)
+{
+    details_->tick(now);
+}
+
+time_point request_engine::next_due() const
+{
+    return details_->timers_.empty() ? never : details_->timers_.top().at;
+}
+
+std::size_t request_engine::in_progress() const
+{
+    return details_->requests_.size();
+}
+
+} // namespace kumquatramp::serving
--- /dev/null
+++ b/serving/src/retry_budget.cpp
@@ -0,0 +1,79 @@
+// Counts requests and extra sends in slices of the window.
+#include <algorithm>
+#include <serving/retry_budget.hpp>
+
+namespace kumquatramp::serving
+{
+
+namespace
+{
+
+/// Slices of a window; one more is counted so that every sliding window of
+/// the length is covered.
+constexpr int window_slices = 10;
+/// Kept back from the bound: hosts see a request and its arrival at a target
+/// at slightly different moments.
+constexpr double safety = 0.9;
+/// Share of the budget that hedges may use; the rest is for failures.
+constexpr double hedge_share = 0.8;
+
+} // namespace
+
+void retry_budget::configure(double ratio, double slack, duration window)
+{
+    ratio_ = ratio;
+    slack_ = slack;
+    slice_length_ = std::max<duration>(window / window_slices, 1ms);
+}
+
+retry_budget::slice& retry_budget::slice_at(time_point now)
+{
+    std::int64_t const index = now.time_since_epoch() / slice_length_;
+    slice& s = slices_[static_cast<std::size_t>(index % slice_count)];
+    if (s.index != index)
+    {
+        s = {index, 0, 0};
+    }
+    return s;
+}
+
+void retry_budget::count_request(time_point now)
+{
+    ++slice_at(now).requests;
+}
+
+double retry_budget::left(use purpose, int hosts, time_point now)
+{
+    std::int64_t const present = slice_at(now).index;
+    int requests = 0;
+    int extras = 0;
+    for (slice const& s : slices_)
+    {
+        if (s.index > present - window_slices && s.index <= present)
+        {
+            requests += s.requests;
+        }
+        if (s.index >= present - window_slices && s.index <= present)
+        {
+            extras += s.extras;
+        }
+    }
+    double bound = safety * (ratio_ * requests + slack_ / std::max(hosts, 1));
+    if (purpose == use::hedge)
+    {
+        bound *= hedge_share;
+    }
+    return bound - extras;
+}
+
+bool retry_budget::spend(use purpose, int hosts, time_point now)
+{
+    if (left(purpose, hosts, now) < 1.0)
+    {
+        return false;
+    }
+    ++slice_at(now).extras;
+    return true;
+}
+
+} // namespace kumquatramp::serving
--- /dev/null
+++ b/serving/src/target_book.cpp
@@ -0,0 +1,379 @@
+// Beliefs about targets and the choice of a replica.
+#include <algorithm>
+#include <cmath>
+#include <serving/belief_log.hpp>
+#include <serving/target_book.hpp>
+
+namespace kumquatramp::serving
+{
+
+namespace
+{
+
+double to_ms(duration d)
+{
+    return std::chrono::duration<double, std::milli>(d).count();
+}
+
+/// Weight of one more latency sample of a target.
+constexpr double slowness_gain = 0.2;
+/// A single sample counts at most so many times the usual latency: one pause
+/// does not make a target slow.
+constexpr double slowness_clip = 4.0;
+/// Without samples a target's slowness halves its distance to 1 in this time,
+/// so that it is tried again.
+constexpr double slowness_half_life_ms = 2500.0;
+
+constexpr double failure_gain = 0.15;
+constexpr double failure_half_life_ms = 2000.0;
+/// Pause after the n-th failure in a row: first, doubled each time, at most.
+constexpr duration first_avoidance = 60ms;
+constexpr duration longest_avoidance = 1500ms;
+/// Failures in a row before a target is left out for a while.
+constexpr int tolerated_failures = 2;
+
+/// A load report tells something for about this long.
+constexpr double report_fresh_ms = 250.0;
+
+/// Another zone costs two network delays and the price of its bytes: it has
+/// to be better by this share of the usual latency plus a constant.
+constexpr double far_share = 0.7;
+constexpr double far_ms = 3.0;
+
+/// Penalties that order what should not be chosen at all, in ms.
+constexpr double overdue_penalty_ms = 400.0;
+constexpr double unlisted_penalty_ms = 1500.0;
+constexpr double avoided_penalty_ms = 3000.0;
+
+double decayed(double value, double rest, time_point since, time_point now,
+               double half_life_ms)
+{
+    double const age = to_ms(now - since);
+    return rest + (value - rest) * std::exp2(-age / half_life_ms);
+}
+
+} // namespace
+
+target_book::target_book(std::string own_zone, duration unlisted_hold,
+                         random_source& random, belief_log& log)
+    : own_zone_(std::move(own_zone))
+    , unlisted_hold_(unlisted_hold)
+    , random_(random)
+    , log_(log)
+{
+}
+
+void target_book::put(target_record record, time_point now)
+{
+    auto& known = by_id_[record.id];
+    if (known && (known->record.born_ms != record.born_ms ||
+                  known->record.address != record.address ||
+                  known->record.service != record.service))
+    {
+        // A new incarnation under an old id: nothing of before holds.
+        drop(known, "replaced by a new incarnation");
+        known.reset();
+    }
+    listing const listed = record.draining ? listing::draining : listing::ready;
+    if (!known)
+    {
+        known = std::make_shared<target>();
+        by_service_[record.service].push_back(known);
+        log_.note("target.found", record.id,
+                  record.service + " at " + record.address);
+    }
+    else if (known->listed != listed)
+    {
+        log_.note(record.draining ? "target.draining" : "target.listed",
+                  record.id, record.service);
+    }
+    known->listed = listed;
+    known->unlisted_since = never;
+    if (record.warmup_left > duration::zero())
+    {
+        known->cold_until = now + record.warmup_left;
+    }
+    known->record = std::move(record);
+}
+
+void target_book::remove(std::string_view id, time_point now)
+{
+    auto const found = by_id_.find(std::string(id));
+    if (found == by_id_.end())
+    {
+        return;
+    }
+    target& t = *found->second;
+    if (t.listed == listing::draining)
+    {
+        drop(found->second, "drained");
+        by_id_.erase(found);
+        return;
+    }
+    if (t.listed == listing::ready)
+    {
+        t.listed = listing::unlisted;
+        t.unlisted_since = now;
+        log_.note("target.unlisted", t.record.id, t.record.service);
+    }
+}
+
+void target_book::retain(std::set<std::string, std::less<>> const& listed,
+                         time_point now)
+{
+    std::vector<std::string> missing;
+    for (auto const& [id, t] : by_id_)
+    {
+        if (!listed.contains(id))
+        {
+            missing.push_back(id);
+        }
+    }
+    for (auto const& id : missing)
+    {
+        remove(id, now);
+    }
+}
+
+void target_book::evacuate(std::string zone, time_point)
+{
+    if (evacuated_.insert(zone).second)
+    {
+        log_.note("zone.evacuated", zone, "no new work for its targets");
+    }
+}
+
+void target_book::end_evacuation(std::string const& zone, time_point)
+{
+    if (evacuated_.erase(zone) > 0)
+    {
+        log_.note("zone.back", zone, "its targets may receive work again");
+    }
+}
+
+void target_book::set_evacuated(std::set<std::string> zones, time_point now)
+{
+    auto const before = evacuated_;
+    for (auto const& zone : before)
+    {
+        if (!zones.contains(zone))
+        {
+            end_evacuation(zone, now);
+        }
+    }
+    for (auto const& zone : zones)
+    {
+        evacuate(zone, now);
+    }
+}
+
+void target_book::drop(std::shared_ptr<target> const& t,
+                       std::string_view cause)
+{
+    t->listed = listing::gone;
+    auto& replicas = by_service_[t->record.service];
+    std::erase(replicas, t);
+    log_.note("target.gone", t->record.id, cause);
+}
+
+void target_book::tick(time_point now)
+{
+    for (auto it = by_id_.begin(); it != by_id_.end();)
+    {
+        auto const& t = it->second;
+        if (t->listed == listing::unlisted &&
+            now - t->unlisted_since >= unlisted_hold_)
+        {
+            drop(t, "entry did not come back");
+            it = by_id_.erase(it);
+            continue;
+        }
+        ++it;
+    }
+}
+
+bool target_book::may_send(target const& t) const
+{
+    return t.usable() && !evacuated_.contains(t.record.zone);
+}
+
+bool target_book::has_usable(std::string_view service) const
+{
+    auto const found = by_service_.find(service);
+    return found != by_service_.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](auto const& t) { return may_send(*t); });
+}
+
+double target_book::expected_ms(target const& t, double usual_ms,
+                                time_point now)
+{
+    double const slowness = decayed(t.slowness, 1.0, t.slowness_at, now,
+                                    slowness_half_life_ms);
+    double busy = t.in_flight;
+    double const report_age = to_ms(now - t.reported_at);
+    if (report_age < report_fresh_ms)
+    {
+        busy = std::max(busy, t.reported_busy *
+                                  (1.0 - report_age / report_fresh_ms));
+    }
+    int const slots = std::max(t.record.slots, 1);
+    double const waiting = std::max(0.0, busy + 1 - slots) / slots;
+    double const spread = 0.3 * t.in_flight / slots;
+    double ms = usual_ms * slowness * (1.0 + waiting + spread);
+    if (now < t.cold_until)
+    {
+        ms *= 1.6;
+    }
+    double const failing = decayed(t.failure_share, 0.0, t.failure_at, now,
+                                   failure_half_life_ms);
+    ms += failing * (usual_ms * 4.0 + 20.0);
+    if (t.record.zone != own_zone_)
+    {
+        ms += usual_ms * far_share + far_ms;
+    }
+    if (t.overdue > 0)
+    {
+        ms += overdue_penalty_ms;
+    }
+    if (t.listed == listing::unlisted)
+    {
+        ms += unlisted_penalty_ms;
+    }
+    if (now < t.avoid_until)
+    {
+        ms += avoided_penalty_ms;
+    }
+    // Ties break at random, so that hosts spread over equal replicas.
+    return ms * (1.0 + 0.1 * random_.unit());
+}
+
+std::shared_ptr<target>
+target_book::pick(std::string_view service, duration usual,
+                  std::span<target const* const> tried, bool prompt_only,
+                  time_point now)
+{
+    auto const found = by_service_.find(service);
+    if (found == by_service_.end())
+    {
+        return nullptr;
+    }
+    std::shared_ptr<target> best;
+    double best_ms = 0;
+    for (auto const& t : found->second)
+    {
+        if (!may_send(*t) ||
+            std::find(tried.begin(), tried.end(), t.get()) != tried.end())
+        {
+            continue;
+        }
+        if (prompt_only && (t->overdue > 0 || now < t->avoid_until ||
+                            t->listed == listing::unlisted))
+        {
+            continue;
+        }
+        double const ms = expected_ms(*t, to_ms(usual), now);
+        if (!best || ms < best_ms)
+        {
+            best = t;
+            best_ms = ms;
+        }
+    }
+    return best;
+}
+
+std::shared_ptr<target>
+target_book::choose(std::string_view service, duration usual,
+                    std::span<target const* const> tried, time_point now)
+{
+    return pick(service, usual, tried, false, now);
+}
+
+std::shared_ptr<target>
+target_book::choose_prompt(std::string_view service, duration usual,
+                           std::span<target const* const> tried,
+                           time_point now)
+{
+    return pick(service, usual, tried, true, now);
+}
+
+void target_book::count_success(target& t, duration latency, duration usual,
+                                time_point now)
+{
+    double const sample = std::min(
+        slowness_clip, to_ms(latency) / std::max(to_ms(usual), 0.1));
+    double const present = decayed(t.slowness, 1.0, t.slowness_at, now,
+                                   slowness_half_life_ms);
+    t.slowness = present + slowness_gain * (sample - present);
+    t.slowness_at = now;
+    double const failing = decayed(t.failure_share, 0.0, t.failure_at, now,
+                                   failure_half_life_ms);
+    t.failure_share = failing * (1.0 - failure_gain);
+    t.failure_at = now;
+    if (t.failures_in_row > tolerated_failures)
+    {
+        log_.note("target.recovered", t.record.id, t.record.service);
+    }
+    t.failures_in_row = 0;
+    t.avoid_until = now;
+}
+
+void target_book::count_failure(target& t, time_point now)
+{
+    double const failing = decayed(t.failure_share, 0.0, t.failure_at, now,
+                                   failure_half_life_ms);
+    t.failure_share = failing + failure_gain * (1.0 - failing);
+    t.failure_at = now;
+    ++t.failures_in_row;
+    if (t.failures_in_row <= tolerated_failures)
+    {
+        return;
+    }
+    if (t.failures_in_row == tolerated_failures + 1)
+    {
+        log_.note("target.failing", t.record.id, t.record.service);
+    }
+    int const doublings = std::min(t.failures_in_row - tolerated_failures, 6);
+    duration const pause =
+        std::min<duration>(first_avoidance * (1 << doublings),
+                           longest_avoidance);
+    t.avoid_until = now + pause;
+}
+
+void target_book::report_load(target& t, int busy, time_point now)
+{
+    t.reported_busy = busy;
+    t.reported_at = now;
+}
+
+void target_book::mark_leaving(target& t, time_point now)
+{
+    // A closing connection may also be a whim of the target's: the registry
+    // tells which; until then it is only avoided.
+    t.avoid_until = std::max(t.avoid_until, now + first_avoidance);
+}
+
+void target_book::mark_cold(target& t, duration left, time_point now)
+{
+    t.cold_until = std::max(t.cold_until, now + left);
+}
+
+std::span<std::shared_ptr<target> const>
+target_book::replicas(std::string_view service) const
+{
+    auto const found = by_service_.find(service);
+    if (found == by_service_.end())
+    {
+        return {};
+    }
+    return found->second;
+}
+
+std::size_t target_book::usable_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(by_id_.begin(), by_id_.end(),
+                      [&](auto const& entry) { return may_send(*entry.second); }));
+}
+
+} // namespace kumquatramp::serving
--- /dev/null
+++ b/serving/src/warmup_share.cpp
@@ -0,0 +1,32 @@
+// Sends of the last second to each cold target, against this host's share.
+#include <serving/warmup_share.hpp>
+
+namespace kumquatramp::serving
+{
+
+warmup_share::warmup_share(std::string self)
+    : self_(std::move(self))
+{
+}
+
+bool warmup_share::spend(std::string_view target, double rate, int rank,
+                         int hosts, time_point now)
+{
+    int const whole = static_cast<int>(rate);
+    int const each = whole / hosts;
+    // What an equal division leaves over goes to the first hosts by rank.
+    int const share = each + (rank < whole - each * hosts ? 1 : 0);
+    auto& sent = sends_[std::string(target)];
+    while (!sent.empty() && sent.front() <= now - 1s)
+    {
+        sent.pop_front();
+    }
+    if (static_cast<int>(sent.size()) >= share)
+    {
+        return false;
+    }
+    sent.push_back(now);
+    return true;
+}
+
+} // namespace kumquatramp::serving
