Keep the retry budget over restarts; give full targets a share of sends

A shard left with one server got every query and made all of them late. Change: no slack for one window after a start; AIMD share of sends by the queue that a target reports; the last part of a scarce budget is kept for requests that fail without it.

--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -81,9 +81,10 @@
             .count());
 }
 
-serving::serving_options options_of(host_settings const& s)
+serving::serving_options options_of(host_settings const& s, time_point started)
 {
     serving::serving_options o;
+    o.started = started;
     o.retry_ratio = s.retry_ratio;
     o.retry_slack = s.retry_slack;
     o.retry_window = s.retry_window;
@@ -130,6 +131,7 @@
     std::string path_;
     platform_adapter& adapter_;
     eventloop::boot_clock time_;
+    time_point started_ = time_.now();
     asio::io_context loop_{1};
     seeded_random random_{std::random_device{}()};
     host_log log_;
@@ -173,7 +175,7 @@
     , book_(settings_.zone, scaled(settings_.drain_bound, unlisted_share),
             random_, log_)
     , warmup_(settings_.ip)
-    , front_(loop_, time_, adapter.wire(), options_of(settings_), random_,
+    , front_(loop_, time_, adapter.wire(), options_of(settings_, started_), random_,
              book_, fleet_, warmup_, log_)
     , readiness_(loop_, time_, [this](auto method, auto target)
                  { return answer_readiness(method, target); })
@@ -472,7 +474,7 @@
     }
     host_settings const& s = fresh.value();
     fleet_.set_seeds(ips_of(s.seeds));
-    front_.engine().set_options(options_of(s));
+    front_.engine().set_options(options_of(s, started_));
     settings_.shutdown_grace = s.shutdown_grace;
     settings_.directory_ttl = s.directory_ttl;
     settings_.seeds = s.seeds;
--- a/serving/include/serving/retry_budget.hpp
+++ b/serving/include/serving/retry_budget.hpp
@@ -23,7 +23,10 @@
         retry,
     };
 
-    void configure(double ratio, double slack, duration window);
+    /// `started` is the start of this host: an earlier life of it may have
+    /// spent its share of the slack, so it has none for one window.
+    void configure(double ratio, double slack, duration window,
+                   time_point started);
 
     void count_request(time_point now);
 
@@ -33,6 +36,9 @@
     /// Sends left for this purpose.
     double left(use purpose, int hosts, time_point now);
 
+    /// Whether most of the budget is spent.
+    bool scarce(int hosts, time_point now);
+
 private:
     struct slice
     {
@@ -43,10 +49,13 @@
     static constexpr int slice_count = 12;
 
     slice& slice_at(time_point now);
+    double bound(int hosts, time_point now);
+    double spent(time_point now);
 
     double ratio_ = 0;
     double slack_ = 0;
     duration slice_length_ = 1s;
+    time_point slack_from_{};
     std::array<slice, slice_count> slices_{};
 };
 
--- a/serving/include/serving/serving_options.hpp
+++ b/serving/include/serving/serving_options.hpp
@@ -13,6 +13,8 @@
     double retry_ratio = 0.2;
     double retry_slack = 0;
     duration retry_window = 10s;
+    /// When this host started.
+    time_point started{};
 
     /// Time kept back from a latency objective for the way to the client: two
     /// network delays and the host's own work.
--- a/serving/include/serving/target.hpp
+++ b/serving/include/serving/target.hpp
@@ -38,6 +38,10 @@
     int failures_in_row = 0;
     time_point avoid_until{};
 
+    /// Share of the sends that the target's queue leaves room for, (0, 1];
+    /// below 1 while it reports more waiting than it can serve in time.
+    double admitted_share = 1.0;
+
     /// The target's own report, in requests.
     int reported_busy = 0;
     time_point reported_at{};
--- a/serving/include/serving/target_book.hpp
+++ b/serving/include/serving/target_book.hpp
@@ -73,7 +73,14 @@
                        time_point now);
     /// The target failed, refused or broke the connection.
     void count_failure(target& t, time_point now);
-    void report_load(target& t, int busy, time_point now);
+    /// The target tells how many requests it holds. `usual` and `objective`
+    /// are the route's: a queue that takes too much of the objective lowers
+    /// the share of sends that the target is given.
+    void report_load(target& t, int busy, duration usual, duration objective,
+                     time_point now);
+
+    /// Whether the target's queue has room for one more, by its share.
+    bool admits(target const& t);
     /// The target says itself that it is leaving.
     void mark_leaving(target& t, time_point now);
     void mark_cold(target& t, duration left, time_point now);
--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -48,7 +48,7 @@
     {
         found = budgets_.emplace(std::string(service), retry_budget{}).first;
         found->second.configure(options_.retry_ratio, options_.retry_slack,
-                                options_.retry_window);
+                                options_.retry_window, options_.started);
     }
     return found->second;
 }
@@ -173,7 +173,10 @@
         if (!send(running, i, false, now))
         {
             running.shards[i].now = shard_state::lost;
-            running.shards[i].cause = "no target";
+            if (running.shards[i].cause[0] == '\0')
+            {
+                running.shards[i].cause = "no target";
+            }
         }
     }
     settle(running, now);
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -43,6 +43,8 @@
               time_point now);
     std::shared_ptr<target> choose(running_request& r, shard_progress& s,
                                    bool prompt_only, time_point now);
+    /// Whether the request can be a success without one more shard.
+    bool may_skip(running_request const& r) const;
     std::shared_ptr<target> refused_before(shard_progress const& s) const;
     bool bears(target const& t, running_request const& r, time_point now);
     int connection_limit(running_request const& r, target const& t,
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -59,6 +59,7 @@
     for (auto const& t : s.tries)
     {
         if (t.state == try_state::refused && book_.may_send(*t.to) &&
+            t.to->admitted_share >= 1.0 &&
             (!best || t.to->failure_share < best->failure_share))
         {
             best = t.to;
@@ -67,6 +68,13 @@
     return best;
 }
 
+bool request_engine::details::may_skip(running_request const& r) const
+{
+    return r.on->scatters() &&
+           static_cast<int>(r.shards.size()) - r.count(shard_state::lost) >
+               needed(r);
+}
+
 std::shared_ptr<target>
 request_engine::details::choose(running_request& r, shard_progress& s,
                                 bool prompt_only, time_point now)
@@ -91,6 +99,13 @@
         {
             return prompt_only ? nullptr : refused_before(s);
         }
+        if (may_skip(r) && !book_.admits(*t))
+        {
+            // Every send to a full target would make all of them late; this
+            // request is as good without the shard.
+            s.cause = "target full";
+            return nullptr;
+        }
         if (bears(*t, r, now))
         {
             return t;
@@ -177,9 +192,10 @@
     target& t = *a.to;
     --t.in_flight;
     t.overdue -= a.overdue ? 1 : 0;
-    if (reply.busy)
+    if (reply.busy && r != nullptr)
     {
-        book_.report_load(t, *reply.busy, now);
+        book_.report_load(t, *reply.busy, statistics(*r->on).latency.usual(),
+                          r->on->latency_objective, now);
     }
     if (reply.leaving)
     {
@@ -322,7 +338,9 @@
     }
     // Only a send that arrived makes the next one an extra arrival.
     bool const arrived = s.targets_used() > 0;
-    if (may_repeat(r, s) &&
+    bool const dispensable =
+        may_skip(r) && budget(s.service).scarce(fleet_.hosts(now), now);
+    if (may_repeat(r, s) && !(arrived && dispensable) &&
         (!arrived || budget(s.service).spend(retry_budget::use::retry,
                                              fleet_.hosts(now), now)) &&
         send(r, shard, false, now))
--- a/serving/src/retry_budget.cpp
+++ b/serving/src/retry_budget.cpp
@@ -16,11 +16,15 @@
 constexpr double safety = 0.9;
 /// Share of the budget that hedges may use; the rest is for failures.
 constexpr double hedge_share = 0.8;
+/// Beyond this share the rest is kept for requests that fail without it.
+constexpr double scarce_share = 0.6;
 
 } // namespace
 
-void retry_budget::configure(double ratio, double slack, duration window)
+void retry_budget::configure(double ratio, double slack, duration window,
+                             time_point started)
 {
+    slack_from_ = started + window + window / window_slices;
     ratio_ = ratio;
     slack_ = slack;
     slice_length_ = std::max<duration>(window / window_slices, 1ms);
@@ -42,28 +46,44 @@
     ++slice_at(now).requests;
 }
 
-double retry_budget::left(use purpose, int hosts, time_point now)
+double retry_budget::bound(int hosts, time_point now)
 {
     std::int64_t const present = slice_at(now).index;
     int requests = 0;
-    int extras = 0;
     for (slice const& s : slices_)
     {
         if (s.index > present - window_slices && s.index <= present)
         {
             requests += s.requests;
         }
+    }
+    double const slack = now < slack_from_ ? 0.0 : slack_ / std::max(hosts, 1);
+    return safety * (ratio_ * requests + slack);
+}
+
+double retry_budget::spent(time_point now)
+{
+    std::int64_t const present = slice_at(now).index;
+    int extras = 0;
+    for (slice const& s : slices_)
+    {
         if (s.index >= present - window_slices && s.index <= present)
         {
             extras += s.extras;
         }
     }
-    double bound = safety * (ratio_ * requests + slack_ / std::max(hosts, 1));
-    if (purpose == use::hedge)
-    {
-        bound *= hedge_share;
-    }
-    return bound - extras;
+    return extras;
+}
+
+double retry_budget::left(use purpose, int hosts, time_point now)
+{
+    double const share = purpose == use::hedge ? hedge_share : 1.0;
+    return share * bound(hosts, now) - spent(now);
+}
+
+bool retry_budget::scarce(int hosts, time_point now)
+{
+    return spent(now) > scarce_share * bound(hosts, now);
 }
 
 bool retry_budget::spend(use purpose, int hosts, time_point now)
--- a/serving/src/target_book.cpp
+++ b/serving/src/target_book.cpp
@@ -35,6 +35,20 @@
 /// A load report tells something for about this long.
 constexpr double report_fresh_ms = 250.0;
 
+/// A queue whose wait is over this share of the objective is too long: beside
+/// the service itself a pause or a hedge must still fit.
+constexpr double full_wait_share = 0.35;
+/// The share of sends falls by a factor and rises by a step, so that hosts
+/// that know nothing of each other converge on what the target bears.
+constexpr double admitted_decrease = 0.85;
+constexpr double admitted_increase = 0.04;
+constexpr double least_admitted = 0.1;
+/// A target with a lower share gets no second sends.
+constexpr double roomy_share = 0.85;
+/// What a full target costs beside its wait, in multiples of the usual
+/// latency: the others are preferred while they have room.
+constexpr double full_penalty = 4.0;
+
 /// Another zone costs two network delays and the price of its bytes: it has
 /// to be better by this share of the usual latency plus a constant.
 constexpr double far_share = 0.7;
@@ -221,6 +235,7 @@
     double const waiting = std::max(0.0, busy + 1 - slots) / slots;
     double const spread = 0.3 * t.in_flight / slots;
     double ms = usual_ms * slowness * (1.0 + waiting + spread);
+    ms += usual_ms * full_penalty * (1.0 - t.admitted_share);
     if (now < t.cold_until)
     {
         ms *= 1.6;
@@ -268,7 +283,8 @@
             continue;
         }
         if (prompt_only && (t->overdue > 0 || now < t->avoid_until ||
-                            t->listed == listing::unlisted))
+                            t->listed == listing::unlisted ||
+                            t->admitted_share < roomy_share))
         {
             continue;
         }
@@ -340,10 +356,35 @@
     t.avoid_until = now + pause;
 }
 
-void target_book::report_load(target& t, int busy, time_point now)
+void target_book::report_load(target& t, int busy, duration usual,
+                              duration objective, time_point now)
 {
     t.reported_busy = busy;
     t.reported_at = now;
+    int const slots = std::max(t.record.slots, 1);
+    double const waiting = std::max(0, busy - slots);
+    double const wait_ms = to_ms(usual) * waiting / slots;
+    bool const was_full = t.admitted_share < 1.0;
+    if (wait_ms > to_ms(objective) * full_wait_share)
+    {
+        t.admitted_share =
+            std::max(least_admitted, t.admitted_share * admitted_decrease);
+    }
+    else if (wait_ms < to_ms(objective) * full_wait_share / 2)
+    {
+        t.admitted_share =
+            std::min(1.0, t.admitted_share + admitted_increase);
+    }
+    if (was_full != (t.admitted_share < 1.0))
+    {
+        log_.note(was_full ? "target.room" : "target.full", t.record.id,
+                  t.record.service + " holds " + std::to_string(busy));
+    }
+}
+
+bool target_book::admits(target const& t)
+{
+    return t.admitted_share >= 1.0 || random_.unit() < t.admitted_share;
 }
 
 void target_book::mark_leaving(target& t, time_point now)
