Defer a full shard instead of losing it

Change: a spared or refused shard is deferred and sent when the query cannot do without it; a target that refused is asked again after a service time.

--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -170,13 +170,11 @@
     }
     for (std::size_t i = 0; i < running.shards.size(); ++i)
     {
-        if (!send(running, i, false, now))
+        auto& s = running.shards[i];
+        if (!send(running, i, false, now) && s.now == shard_state::waiting)
         {
-            running.shards[i].now = shard_state::lost;
-            if (running.shards[i].cause[0] == '\0')
-            {
-                running.shards[i].cause = "no target";
-            }
+            s.now = shard_state::lost;
+            s.cause = "no target";
         }
     }
     settle(running, now);
@@ -201,29 +199,79 @@
     {
         return;
     }
+    revive(r, now);
     int const in = r.count(shard_state::answered);
+    int const waiting = r.count(shard_state::waiting);
     int const lost = r.count(shard_state::lost);
     int const total = static_cast<int>(r.shards.size());
     int const need = needed(r);
-    if (!r.on->scatters())
-    {
-        if (lost > 0)
-        {
-            fail(r, error_kind::target_failed, now);
-        }
-        return;
-    }
     if (total - lost < need)
     {
         fail(r, error_kind::target_failed, now);
         return;
     }
-    if (in >= need && (in + lost == total || now >= r.settle_at))
+    if (r.on->scatters() && in >= need &&
+        (waiting == 0 || now >= r.settle_at))
     {
         answer_merged(r, now);
     }
 }
 
+void request_engine::details::revive(running_request& r, time_point now)
+{
+    int missing = needed(r) - r.count(shard_state::answered) -
+                  r.count(shard_state::waiting);
+    time_point next = never;
+    for (std::size_t i = 0; i < r.shards.size() && missing > 0; ++i)
+    {
+        auto& s = r.shards[i];
+        if (s.now != shard_state::deferred)
+        {
+            continue;
+        }
+        --missing;
+        if (now < s.revive_at)
+        {
+            next = std::min(next, s.revive_at);
+            continue;
+        }
+        s.now = shard_state::waiting;
+        bool const arrived = s.targets_used() > 0;
+        if ((arrived && !budget(s.service).spend(retry_budget::use::retry,
+                                                 fleet_.hosts(now), now)) ||
+            !send(r, i, false, now))
+        {
+            s.now = shard_state::lost;
+            ++missing;
+        }
+    }
+    if (next != never)
+    {
+        timers_.push({next, timer_kind::request_settles, r.handle});
+    }
+}
+
+void request_engine::details::defer_or_lose(running_request& r,
+                                            shard_progress& s, time_point now)
+{
+    auto const& last = s.tries;
+    bool const refused =
+        std::any_of(last.begin(), last.end(), [&](target_try const& t)
+                    { return t.state == try_state::refused &&
+                             book_.may_send(*t.to); });
+    // A target that has no room now may have some after a service time.
+    duration const pause = std::chrono::duration_cast<duration>(
+        statistics(*r.on).latency.usual() * (1.0 + random_.unit()));
+    if (refused && s.sends < options_.max_sends &&
+        (r.on->idempotent || !s.may_have_run) && now + pause < r.deadline)
+    {
+        s.now = shard_state::deferred;
+        s.revive_at = now + pause;
+        return;
+    }
+    s.now = shard_state::lost;
+}
+
 void request_engine::details::answer_merged(running_request& r, time_point now)
 {
     client_answer merged;
@@ -309,7 +357,9 @@
         }
         text += "; ";
         text += s.service;
-        text += s.now == shard_state::lost ? " lost" : " waiting";
+        text += s.now == shard_state::lost       ? " lost"
+                : s.now == shard_state::deferred ? " deferred"
+                                                 : " waiting";
         for (auto const& t : s.tries)
         {
             text += t.state == try_state::refused   ? " refused-by "
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -43,6 +43,9 @@
               time_point now);
     std::shared_ptr<target> choose(running_request& r, shard_progress& s,
                                    bool prompt_only, time_point now);
+    /// Whether the choice found a full target that the request can spare.
+    bool spares(running_request const& r, shard_progress const& s,
+                target const& t);
     /// Whether the request can be a success without one more shard.
     bool may_skip(running_request const& r) const;
     std::shared_ptr<target> refused_before(shard_progress const& s) const;
@@ -60,6 +63,9 @@
     void retry_or_lose(running_request& r, std::size_t shard, time_point now);
     bool may_repeat(running_request const& r, shard_progress const& s) const;
     void settle(running_request& r, time_point now);
+    /// Sends deferred shards that the request cannot do without.
+    void revive(running_request& r, time_point now);
+    void defer_or_lose(running_request& r, shard_progress& s, time_point now);
     void answer_merged(running_request& r, time_point now);
     void fail(running_request& r, error_kind error, time_point now);
     void finish(running_request& r, bool failed, std::string_view outcome,
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -59,7 +59,7 @@
     for (auto const& t : s.tries)
     {
         if (t.state == try_state::refused && book_.may_send(*t.to) &&
-            t.to->admitted_share >= 1.0 &&
+            (t.to->admitted_share >= 1.0 || s.revive_at != time_point{}) &&
             (!best || t.to->failure_share < best->failure_share))
         {
             best = t.to;
@@ -71,10 +71,19 @@
 bool request_engine::details::may_skip(running_request const& r) const
 {
     return r.on->scatters() &&
-           static_cast<int>(r.shards.size()) - r.count(shard_state::lost) >
+           r.count(shard_state::answered) + r.count(shard_state::waiting) >
                needed(r);
 }
 
+bool request_engine::details::spares(running_request const& r,
+                                     shard_progress const& s, target const& t)
+{
+    // Every send to a full target makes all of them late. A request that is a
+    // success without the shard spares it, unless it had to come back to it.
+    return s.sends == 0 && s.revive_at == time_point{} && may_skip(r) &&
+           !book_.admits(t);
+}
+
 std::shared_ptr<target>
 request_engine::details::choose(running_request& r, shard_progress& s,
                                 bool prompt_only, time_point now)
@@ -99,10 +108,9 @@
         {
             return prompt_only ? nullptr : refused_before(s);
         }
-        if (may_skip(r) && !book_.admits(*t))
+        if (!prompt_only && spares(r, s, *t))
         {
-            // Every send to a full target would make all of them late; this
-            // request is as good without the shard.
+            s.now = shard_state::deferred;
             s.cause = "target full";
             return nullptr;
         }
@@ -347,7 +355,10 @@
     {
         return;
     }
-    s.now = shard_state::lost;
+    if (s.now == shard_state::waiting)
+    {
+        defer_or_lose(r, s, now);
+    }
     settle(r, now);
 }
 
--- a/serving/src/details/running_request.hpp
+++ b/serving/src/details/running_request.hpp
@@ -36,13 +36,15 @@
     {
         waiting,
         answered,
-        lost, ///< given up: nothing more will be sent
+        deferred, ///< left out while the request is a success without it
+        lost,     ///< given up: nothing more will be sent
     };
 
     std::string_view service; // owned by the request's catalogue
     state now = state::waiting;
     std::vector<target_try> tries{};
     int sends = 0;
+    time_point revive_at{}; ///< deferred: not sent again before
     int outstanding = 0;
     bool may_have_run = false;
     std::string stamp{};
