Membership in the manner of SWIM, and a serving set of the strongest hosts

Change: probes, indirect probes and rumours, so that messages do not grow with the fleet; a serving set sized by processor share, the others stand by.

--- a/fleet/src/fleet_view.cpp
+++ b/fleet/src/fleet_view.cpp
@@ -1,6 +1,7 @@
-// Gossip of heartbeats.
+// Probes, rumours and the serving set.
 #include <algorithm>
 #include <base/rendezvous.hpp>
+#include <bit>
 #include <fleet/fleet_view.hpp>
 
 namespace kumquatramp::fleet
@@ -9,25 +10,57 @@
 namespace
 {
 
-/// A heartbeat that stands still for so long means a dead host: three rounds
-/// of gossip reach a fleet of 150 from every host, with one more for loss.
-constexpr duration death_after = 3s;
+/// A ping without an ack for so long goes through others; two more rounds
+/// without one make a suspect.
+constexpr duration ack_timeout = 400ms;
+constexpr duration indirect_timeout = 450ms;
+/// Time that a suspect has to deny it: a rumour reaches a fleet of 150 and
+/// the denial comes back.
+constexpr duration suspect_timeout = 1500ms;
 /// Dead hosts count in the fleet's size for so long: a host that is only cut
 /// off may go on sending.
 constexpr duration remembered_for = 60s;
-/// Hosts told in each round; beside them one seed.
-constexpr std::size_t fanout = 2;
-/// Hosts that one message tells of; keeps it within a datagram.
-constexpr std::size_t most_news = 24;
+/// Hosts that ping for another one, each of another zone.
+constexpr std::size_t most_helpers = 4;
+/// Rumours in one message, and states in one push: both fit a datagram.
+constexpr std::size_t rumours_at_once = 8;
+constexpr std::size_t states_at_once = 24;
+/// Each rumour is told this often for each doubling of the fleet.
+constexpr int tellings = 3;
+/// All states are compared with another host's at these rounds after the
+/// start, and then at this interval.
+constexpr std::uint64_t early_pulls[] = {1, 2, 4, 7};
+constexpr std::uint64_t pull_every = 10;
+
 /// A fleet whose size is not yet known is taken for one of so many hosts.
 constexpr int assumed_hosts = 20;
-/// After so long without news of others the known size holds.
+/// After this time the known size holds.
 constexpr duration learning_time = 5s;
+/// Sums over the fleet are divided by at least so many hosts, if there are as
+/// many: in a partition more hosts serve than each part knows.
+constexpr int least_divisor = 12;
+
 /// A zone with fewer ready hosts than this sends its clients to all zones.
-constexpr std::size_t enough_in_zone = 2;
+constexpr std::size_t enough_in_zone = 3;
+/// The serving set has at least this processor share, in thousandths of a
+/// core, and this multiple of what busy hosts have beside it.
+constexpr std::uint32_t least_serving_weight = 2500;
+constexpr std::uint32_t busy_factor = 2;
+/// And at least so many hosts in each zone.
+constexpr std::size_t least_serving_in_zone = 2;
+/// A host of this weight belongs to the serving set of most fleets and does
+/// not wait for news of others when it starts.
+constexpr std::uint32_t certain_weight = least_serving_weight / 20;
+/// Without news of others a host decides alone after this time.
+constexpr duration settling_time = 1500ms;
 /// Addresses that a client takes.
 constexpr std::size_t most_addresses = 64;
 
+bool live(peer_state const& s)
+{
+    return s.health != peer_health::dead;
+}
+
 } // namespace
 
 fleet_view::fleet_view(peer_state self, std::vector<std::string> seeds,
@@ -38,7 +71,9 @@
     , random_(random)
     , log_(log)
     , started_(now)
+    , last_number_(static_cast<std::uint32_t>(random.next()))
 {
+    spread(self_.ip);
 }
 
 void fleet_view::set_seeds(std::vector<std::string> seeds)
@@ -46,138 +81,517 @@
     seeds_ = std::move(seeds);
 }
 
-std::vector<std::string> fleet_view::next_round(time_point now)
+void fleet_view::change_self()
 {
-    ++self_.heartbeat;
-    std::vector<std::string> live;
-    for (auto it = peers_.begin(); it != peers_.end();)
+    ++self_.version;
+    spread(self_.ip);
+}
+
+void fleet_view::set_ready(bool ready)
+{
+    if (self_.ready != ready)
     {
-        peer& p = it->second;
-        duration const silent = now - p.heard;
-        if (p.live && silent >= death_after)
+        self_.ready = ready;
+        change_self();
+    }
+}
+
+void fleet_view::set_leaving()
+{
+    self_.leaving = true;
+    change_self();
+}
+
+void fleet_view::set_busy(bool busy)
+{
+    if (self_.busy != busy)
+    {
+        log_.note(busy ? "host.busy" : "host.idle", self_.ip,
+                  "by the lateness of its timers");
+        self_.busy = busy;
+        change_self();
+    }
+}
+
+void fleet_view::spread(std::string const& ip)
+{
+    int const times =
+        tellings * static_cast<int>(std::bit_width(peers_.size() + 1));
+    auto const known =
+        std::find_if(rumours_.begin(), rumours_.end(),
+                     [&](rumour const& r) { return r.ip == ip; });
+    if (known != rumours_.end())
+    {
+        known->left = times;
+        return;
+    }
+    rumours_.push_back({ip, times});
+}
+
+std::vector<peer_state> fleet_view::take_rumours()
+{
+    // Those told least often go first.
+    std::sort(rumours_.begin(), rumours_.end(),
+              [](rumour const& a, rumour const& b) { return a.left > b.left; });
+    std::vector<peer_state> states{self_};
+    for (auto& r : rumours_)
+    {
+        if (states.size() > rumours_at_once)
         {
-            p.live = false;
-            log_.note("host.lost", it->first, "its heartbeat stands still");
+            break;
         }
-        if (silent >= remembered_for)
+        --r.left;
+        if (auto const p = peers_.find(r.ip); p != peers_.end())
         {
-            it = peers_.erase(it);
-            continue;
+            states.push_back(p->second.state);
         }
-        if (p.live)
+    }
+    std::erase_if(rumours_, [](rumour const& r) { return r.left <= 0; });
+    return states;
+}
+
+void fleet_view::merge(peer_state const& state, bool tell_on, time_point now)
+{
+    if (state.ip == self_.ip)
+    {
+        // What is said of this host and newer than its own word stems from an
+        // earlier life of it; a suspicion is denied.
+        if (state.incarnation > self_.incarnation)
         {
-            live.push_back(it->first);
+            self_.incarnation = state.incarnation + 1;
+            change_self();
         }
-        ++it;
+        else if (state.newer_than(self_))
+        {
+            self_.version = state.version;
+            change_self();
+        }
+        return;
     }
-    std::vector<std::string> chosen;
-    for (std::size_t i = 0; i < fanout && !live.empty(); ++i)
+    auto const [it, added] = peers_.try_emplace(state.ip, peer{state, now});
+    peer& p = it->second;
+    if (!added && !state.newer_than(p.state))
     {
-        std::size_t const at = random_.below(live.size());
-        chosen.push_back(std::move(live[at]));
-        live.erase(live.begin() + static_cast<std::ptrdiff_t>(at));
+        return;
     }
-    if (!seeds_.empty())
+    bool const was_live = !added && live(p.state);
+    p.state = state;
+    p.changed = now;
+    if (tell_on)
     {
-        // A seed beside them joins parts of the fleet that lost each other.
-        std::string const& seed = seeds_[seed_turn_++ % seeds_.size()];
-        if (seed != self_.ip &&
-            std::find(chosen.begin(), chosen.end(), seed) == chosen.end())
+        spread(state.ip);
+    }
+    if (was_live != live(state))
+    {
+        log_.note(live(state) ? "host.found" : "host.lost", state.ip,
+                  state.zone);
+    }
+}
+
+std::vector<std::string> fleet_view::live_ips() const
+{
+    std::vector<std::string> ips;
+    for (auto const& [ip, p] : peers_)
+    {
+        if (live(p.state))
         {
-            chosen.push_back(seed);
+            ips.push_back(ip);
         }
     }
-    return chosen;
+    return ips;
 }
 
-std::vector<peer_state> fleet_view::news(time_point now) const
+std::string fleet_view::pick(std::vector<std::string> const& ips) const
 {
-    std::vector<peer const*> others;
-    for (auto const& [ip, p] : peers_)
+    return ips.empty() ? std::string() : ips[random_.below(ips.size())];
+}
+
+std::vector<outgoing_message> fleet_view::tick(time_point now)
+{
+    ++rounds_;
+    std::vector<outgoing_message> out;
+    judge_probes(now, out);
+    judge_suspects(now);
+    probe_next(now, out);
+    pull_next(out);
+    std::erase_if(relays_, [&](auto const& entry)
+                  { return now - entry.second.sent > 2 * round; });
+    return out;
+}
+
+void fleet_view::judge_probes(time_point now,
+                              std::vector<outgoing_message>& out)
+{
+    std::vector<std::string> silent;
+    for (auto it = probes_.begin(); it != probes_.end();)
     {
-        if (p.live && now - p.heard < death_after)
+        probe& p = it->second;
+        if (!p.indirect && now - p.sent >= ack_timeout)
         {
-            others.push_back(&p);
+            p.indirect = true;
+            p.sent = now;
+            for (std::string const& helper : helpers_for(p.ip))
+            {
+                out.push_back({helper,
+                               {.kind = message_kind::indirect_ping,
+                                .number = it->first,
+                                .subject = p.ip,
+                                .states = {self_}}});
+            }
         }
+        else if (p.indirect && now - p.sent >= indirect_timeout)
+        {
+            silent.push_back(p.ip);
+            it = probes_.erase(it);
+            continue;
+        }
+        ++it;
     }
-    if (others.size() > most_news)
+    for (auto const& ip : silent)
     {
-        std::partial_sort(
-            others.begin(),
-            others.begin() + static_cast<std::ptrdiff_t>(most_news),
-            others.end(),
-            [](peer const* a, peer const* b) { return a->heard > b->heard; });
-        others.resize(most_news);
+        suspect(ip, now);
     }
-    std::vector<peer_state> states{self_};
-    for (peer const* p : others)
+}
+
+std::vector<std::string> fleet_view::helpers_for(std::string const& ip) const
+{
+    // One of each zone: where two zones cannot reach each other, a host of a
+    // third one can tell.
+    std::map<std::string_view, std::vector<std::string>> zones;
+    for (auto const& [helper, p] : peers_)
     {
-        states.push_back(p->state);
+        if (helper != ip && p.state.health == peer_health::alive)
+        {
+            zones[p.state.zone].push_back(helper);
+        }
     }
-    return states;
+    std::vector<std::string> chosen;
+    for (auto const& [zone, ips] : zones)
+    {
+        chosen.push_back(pick(ips));
+    }
+    while (chosen.size() > most_helpers)
+    {
+        chosen.erase(chosen.begin() +
+                     static_cast<std::ptrdiff_t>(random_.below(chosen.size())));
+    }
+    return chosen;
+}
+
+void fleet_view::suspect(std::string const& ip, time_point now)
+{
+    auto const p = peers_.find(ip);
+    if (p == peers_.end() || p->second.state.health != peer_health::alive)
+    {
+        return;
+    }
+    p->second.state.health = peer_health::suspect;
+    p->second.changed = now;
+    spread(ip);
+    log_.note("host.suspect", ip, "no answer, directly or through others");
 }
 
-void fleet_view::merge(std::string_view sender,
-                       std::span<peer_state const> states, time_point now)
+void fleet_view::judge_suspects(time_point now)
 {
-    for (auto const& state : states)
+    for (auto it = peers_.begin(); it != peers_.end();)
     {
-        if (state.ip == self_.ip)
+        peer& p = it->second;
+        duration const age = now - p.changed;
+        if (p.state.health == peer_health::suspect && age >= suspect_timeout)
+        {
+            p.state.health = peer_health::dead;
+            p.changed = now;
+            spread(it->first);
+            log_.note("host.lost", it->first, "suspected and did not deny it");
+        }
+        else if (p.state.health == peer_health::dead && age >= remembered_for)
         {
-            // An older life of this host is still told of: outlive it.
-            self_.incarnation = std::max(
-                self_.incarnation,
-                state.incarnation + (state.heartbeat > self_.heartbeat ? 1 : 0));
+            it = peers_.erase(it);
             continue;
         }
-        take(state, state.ip == sender, now);
+        ++it;
+    }
+}
+
+void fleet_view::probe_next(time_point now, std::vector<outgoing_message>& out)
+{
+    std::string target;
+    if (rounds_ % 2 == 0)
+    {
+        // Every other probe goes to a host that clients use.
+        std::vector<std::string> serving;
+        for (auto const* s : serving_set())
+        {
+            if (s != &self_)
+            {
+                serving.push_back(s->ip);
+            }
+        }
+        target = pick(serving);
+    }
+    else
+    {
+        if (probe_order_.empty())
+        {
+            probe_order_ = live_ips();
+            for (std::size_t i = probe_order_.size(); i > 1; --i)
+            {
+                std::swap(probe_order_[i - 1], probe_order_[random_.below(i)]);
+            }
+        }
+        if (!probe_order_.empty())
+        {
+            target = probe_order_.back();
+            probe_order_.pop_back();
+        }
+    }
+    auto const known = peers_.find(target);
+    if (known != peers_.end() && live(known->second.state))
+    {
+        std::uint32_t const number = ++last_number_;
+        probes_[number] = {target, now, false};
+        out.push_back({target,
+                       {.kind = message_kind::ping,
+                        .number = number,
+                        .states = take_rumours()}});
+    }
+    if (seeds_.empty())
+    {
+        return;
+    }
+    // Seeds that are not known to live may join parts of a fleet that lost
+    // each other.
+    std::string const& seed = seeds_[rounds_ % seeds_.size()];
+    auto const p = peers_.find(seed);
+    if (seed != self_.ip && (p == peers_.end() || !live(p->second.state)))
+    {
+        out.push_back({seed,
+                       {.kind = message_kind::ping,
+                        .number = ++last_number_,
+                        .states = {self_}}});
     }
 }
 
-void fleet_view::take(peer_state const& state, bool direct, time_point now)
+void fleet_view::pull_next(std::vector<outgoing_message>& out)
 {
-    auto [it, added] = peers_.try_emplace(state.ip);
-    peer& p = it->second;
-    // A host's own word holds even if its clock went back over a restart.
-    bool const restarted =
-        direct && state.incarnation != p.state.incarnation;
-    if (!added && !restarted && !state.newer_than(p.state))
+    bool const early = std::find(std::begin(early_pulls), std::end(early_pulls),
+                                 rounds_) != std::end(early_pulls);
+    if (!early && rounds_ % pull_every != 0)
     {
         return;
     }
-    bool const was_live = p.live;
-    p.state = state;
-    p.heard = now;
-    p.live = true;
-    if (!was_live)
+    std::string target = pick(live_ips());
+    if (target.empty())
+    {
+        target = pick(seeds_);
+    }
+    if (!target.empty() && target != self_.ip)
     {
-        log_.note("host.found", state.ip, state.zone);
+        out.push_back({target,
+                       {.kind = message_kind::pull,
+                        .digest = digest(),
+                        .states = {self_}}});
     }
 }
 
-std::vector<std::string> fleet_view::directory(std::string_view zone,
-                                               time_point now) const
+std::uint64_t fleet_view::digest() const
 {
-    std::vector<std::string> near;
-    std::vector<std::string> all;
-    auto const add = [&](peer_state const& state)
+    std::uint64_t sum = 0;
+    auto const add = [&](peer_state const& s)
+    {
+        sum ^= rendezvous_weight(
+            s.ip, std::to_string(s.incarnation) + '/' +
+                      std::to_string(s.version) + '/' +
+                      std::to_string(static_cast<int>(s.health)));
+    };
+    add(self_);
+    for (auto const& [ip, p] : peers_)
     {
-        if (!state.ready || state.leaving)
+        add(p.state);
+    }
+    return sum;
+}
+
+std::vector<outgoing_message> fleet_view::hear(std::string const& sender,
+                                               fleet_message const& message,
+                                               time_point now)
+{
+    for (auto const& state : message.states)
+    {
+        // Whoever compares all it knows finds out without rumours.
+        merge(state, message.kind != message_kind::push, now);
+    }
+    std::vector<outgoing_message> out;
+    switch (message.kind)
+    {
+    case message_kind::ping:
+    {
+        fleet_message ack{.kind = message_kind::ack,
+                          .number = message.number,
+                          .states = take_rumours()};
+        // The sender learns what is believed of it, so that it can deny it.
+        auto const known = peers_.find(sender);
+        if (known != peers_.end())
         {
-            return;
+            ack.states.push_back(known->second.state);
         }
-        all.push_back(state.ip);
-        if (state.zone == zone)
+        out.push_back({sender, std::move(ack)});
+        break;
+    }
+    case message_kind::ack:
+        if (auto const r = relays_.find(message.number); r != relays_.end())
         {
-            near.push_back(state.ip);
+            out.push_back({r->second.requester,
+                           {.kind = message_kind::ack,
+                            .number = r->second.number,
+                            .states = message.states}});
+            relays_.erase(r);
+        }
+        probes_.erase(message.number);
+        break;
+    case message_kind::indirect_ping:
+        relays_[++last_number_] = {sender, message.number, now};
+        out.push_back({message.subject,
+                       {.kind = message_kind::ping,
+                        .number = last_number_,
+                        .states = {self_}}});
+        break;
+    case message_kind::pull:
+        if (message.digest != digest())
+        {
+            std::vector<peer_state> states{self_};
+            for (auto const& [ip, p] : peers_)
+            {
+                states.push_back(p.state);
+                if (states.size() >= states_at_once)
+                {
+                    out.push_back({sender,
+                                   {.kind = message_kind::push,
+                                    .states = std::move(states)}});
+                    states.clear();
+                }
+            }
+            if (!states.empty())
+            {
+                out.push_back({sender,
+                               {.kind = message_kind::push,
+                                .states = std::move(states)}});
+            }
+        }
+        break;
+    case message_kind::push:
+        break;
+    }
+    return out;
+}
+
+std::vector<outgoing_message> fleet_view::announce() const
+{
+    std::vector<outgoing_message> out;
+    for (auto const& ip : live_ips())
+    {
+        out.push_back({ip, {.kind = message_kind::push, .states = {self_}}});
+    }
+    return out;
+}
+
+void fleet_view::forget_probes()
+{
+    probes_.clear();
+}
+
+std::vector<peer_state const*> fleet_view::serving_set() const
+{
+    std::map<std::string_view, std::vector<peer_state const*>> zones;
+    std::uint32_t busy = 0;
+    std::size_t candidates = 0;
+    auto const add = [&](peer_state const& state)
+    {
+        busy += state.busy ? state.weight : 0;
+        if (!state.leaving && state.health == peer_health::alive)
+        {
+            zones[state.zone].push_back(&state);
+            ++candidates;
         }
     };
     add(self_);
     for (auto const& [ip, p] : peers_)
     {
-        if (p.live && now - p.heard < death_after)
+        add(p.state);
+    }
+    for (auto& [zone, hosts] : zones)
+    {
+        std::sort(hosts.begin(), hosts.end(),
+                  [](peer_state const* a, peer_state const* b)
+                  {
+                      return a->weight != b->weight ? a->weight > b->weight
+                                                    : a->ip < b->ip;
+                  });
+    }
+    std::uint32_t const enough = least_serving_weight + busy * busy_factor;
+    std::vector<peer_state const*> chosen;
+    std::uint32_t weight = 0;
+    // One host of each zone in turn, so that the zones bear alike.
+    for (std::size_t turn = 0; chosen.size() < candidates; ++turn)
+    {
+        if (turn >= least_serving_in_zone && weight >= enough)
+        {
+            break;
+        }
+        for (auto const& [zone, hosts] : zones)
         {
-            add(p.state);
+            if (turn < hosts.size())
+            {
+                chosen.push_back(hosts[turn]);
+                weight += hosts[turn]->weight;
+            }
+        }
+    }
+    return chosen;
+}
+
+bool fleet_view::serves() const
+{
+    auto const set = serving_set();
+    return std::find(set.begin(), set.end(), &self_) != set.end();
+}
+
+bool fleet_view::settled(time_point now) const
+{
+    return self_.weight >= certain_weight || live_hosts() > 1 ||
+           now - started_ >= settling_time;
+}
+
+std::vector<std::string> fleet_view::directory(std::string_view zone) const
+{
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (peer_state const* state : serving_set())
+    {
+        if (!state->ready)
+        {
+            continue;
+        }
+        all.push_back(state->ip);
+        if (state->zone == zone)
+        {
+            near.push_back(state->ip);
+        }
+    }
+    if (all.empty())
+    {
+        // The set is about to change hands: whoever is ready takes clients.
+        for (auto const& [ip, p] : peers_)
+        {
+            if (p.state.ready && !p.state.leaving &&
+                p.state.health == peer_health::alive)
+            {
+                all.push_back(ip);
+            }
+        }
+        if (self_.ready && !self_.leaving)
+        {
+            all.push_back(self_.ip);
         }
     }
     auto& chosen = near.size() >= enough_in_zone ? near : all;
@@ -192,8 +606,15 @@
 int fleet_view::hosts(time_point now) const
 {
     int const known = static_cast<int>(peers_.size()) + 1;
-    return now - started_ < learning_time ? std::max(known, assumed_hosts)
-                                          : known;
+    if (now - started_ < learning_time)
+    {
+        return std::max(known, assumed_hosts);
+    }
+    int const serving =
+        1 + static_cast<int>(std::count_if(
+                peers_.begin(), peers_.end(), [](auto const& entry)
+                { return entry.second.state.ready; }));
+    return std::max(serving, std::min(known, least_divisor));
 }
 
 int fleet_view::rank(std::string_view key, time_point) const
@@ -201,16 +622,13 @@
     std::uint64_t const own = rendezvous_weight(key, self_.ip);
     return static_cast<int>(std::count_if(
         peers_.begin(), peers_.end(), [&](auto const& entry)
-        { return rendezvous_weight(key, entry.first) > own; }));
+        { return entry.second.state.ready &&
+                 rendezvous_weight(key, entry.first) > own; }));
 }
 
-int fleet_view::live_hosts(time_point now) const
+int fleet_view::live_hosts() const
 {
-    return 1 + static_cast<int>(std::count_if(
-                   peers_.begin(), peers_.end(), [&](auto const& entry) {
-                       return entry.second.live &&
-                              now - entry.second.heard < death_after;
-                   }));
+    return 1 + static_cast<int>(live_ips().size());
 }
 
 } // namespace kumquatramp::fleet
--- a/host/src/gossip_codec.cpp
+++ b/host/src/gossip_codec.cpp
@@ -1,4 +1,5 @@
-// [version, [[ip, zone, incarnation, heartbeat, flags, weight], ...]]
+// [version, kind, number, subject, digest,
+//  [[ip, zone, incarnation, version, health, flags, weight], ...]]
 #include "gossip_codec.hpp"
 #include <msgpack.hpp>
 #include <tuple>
@@ -9,58 +10,83 @@
 namespace
 {
 
-constexpr int format_version = 1;
+constexpr unsigned format_version = 1;
 constexpr unsigned ready_flag = 1;
 constexpr unsigned leaving_flag = 2;
+constexpr unsigned busy_flag = 4;
 
 using row = std::tuple<std::string, std::string, std::uint64_t, std::uint32_t,
-                       unsigned, std::uint32_t>;
-using table = std::tuple<int, std::vector<row>>;
+                       unsigned, unsigned, std::uint32_t>;
+using table = std::tuple<unsigned, unsigned, std::uint32_t, std::string,
+                         std::uint64_t, std::vector<row>>;
+
+row to_row(fleet::peer_state const& s)
+{
+    unsigned const flags = (s.ready ? ready_flag : 0) |
+                           (s.leaving ? leaving_flag : 0) |
+                           (s.busy ? busy_flag : 0);
+    return {s.ip,  s.zone,  s.incarnation,
+            s.version, static_cast<unsigned>(s.health),
+            flags, s.weight};
+}
 
 } // namespace
 
-std::string encode_states(std::span<fleet::peer_state const> states)
+std::string encode_message(fleet::fleet_message const& message)
 {
     std::vector<row> rows;
-    rows.reserve(states.size());
-    for (auto const& s : states)
+    rows.reserve(message.states.size());
+    for (auto const& s : message.states)
     {
-        unsigned const flags =
-            (s.ready ? ready_flag : 0) | (s.leaving ? leaving_flag : 0);
-        rows.emplace_back(s.ip, s.zone, s.incarnation, s.heartbeat, flags,
-                          s.weight);
+        rows.push_back(to_row(s));
     }
     msgpack::sbuffer buffer;
-    msgpack::pack(buffer, table(format_version, std::move(rows)));
+    msgpack::pack(buffer,
+                  table(format_version, static_cast<unsigned>(message.kind),
+                        message.number, message.subject, message.digest,
+                        std::move(rows)));
     return {buffer.data(), buffer.size()};
 }
 
-result<std::vector<fleet::peer_state>> decode_states(std::string_view bytes)
+result<fleet::fleet_message> decode_message(std::string_view bytes)
 {
-    std::vector<fleet::peer_state> states;
+    fleet::fleet_message message;
     // The library reports what it cannot read by exceptions.
     try
     {
         auto const handle = msgpack::unpack(bytes.data(), bytes.size());
-        auto const [version, rows] = handle.get().as<table>();
-        if (version != format_version)
+        auto [version, kind, number, subject, digest, rows] =
+            handle.get().as<table>();
+        if (version != format_version ||
+            kind > static_cast<unsigned>(fleet::message_kind::push))
         {
             return failure(error_kind::malformed_request,
                            "message of another version");
         }
-        for (auto const& [ip, zone, incarnation, heartbeat, flags, weight] :
-             rows)
+        message.kind = static_cast<fleet::message_kind>(kind);
+        message.number = number;
+        message.subject = std::move(subject);
+        message.digest = digest;
+        for (auto const& [ip, zone, incarnation, state_version, health, flags,
+                          weight] : rows)
         {
-            states.push_back({ip, zone, incarnation, heartbeat,
-                              (flags & ready_flag) != 0,
-                              (flags & leaving_flag) != 0, weight});
+            if (health > static_cast<unsigned>(fleet::peer_health::dead))
+            {
+                return failure(error_kind::malformed_request,
+                               "unknown health of a host");
+            }
+            message.states.push_back(
+                {ip, zone, incarnation, state_version,
+                 static_cast<fleet::peer_health>(health),
+                 (flags & ready_flag) != 0, (flags & leaving_flag) != 0,
+                 (flags & busy_flag) != 0, weight});
         }
     }
     catch (std::exception const& e)
     {
         return failure(error_kind::malformed_request, e.what());
     }
-    return states;
+    return message;
 }
 
 } // namespace kumquatramp::host
--- a/host/src/gossip_codec.hpp
+++ b/host/src/gossip_codec.hpp
@@ -1,21 +1,19 @@
-// Hosts' states as MessagePack.
+// Messages between hosts as MessagePack.
 #ifndef KUMQUATRAMP_HOST_GOSSIP_CODEC_HPP
 #define KUMQUATRAMP_HOST_GOSSIP_CODEC_HPP
 
 #include <base/result.hpp>
-#include <fleet/peer_state.hpp>
-#include <span>
+#include <fleet/fleet_message.hpp>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace kumquatramp::host
 {
 
-std::string encode_states(std::span<fleet::peer_state const> states);
+std::string encode_message(fleet::fleet_message const& message);
 
 /// Refuses whatever is not a whole message of this version.
-result<std::vector<fleet::peer_state>> decode_states(std::string_view bytes);
+result<fleet::fleet_message> decode_message(std::string_view bytes);
 
 } // namespace kumquatramp::host
 
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -33,7 +33,6 @@
 
 /// Time limits of connections are checked this often.
 constexpr duration sweep_every = 100ms;
-constexpr duration gossip_every = 500ms;
 constexpr duration settings_check_every = 2s;
 /// A suspension longer than this makes the store's connection doubtful.
 constexpr duration notable_suspension = 500ms;
@@ -42,6 +41,17 @@
 /// shutting down before it ends.
 constexpr duration directory_lifetime = 2s;
 
+/// A host leaves the serving set's work only after this time outside it:
+/// longer than clients keep a directory answer, and than a host is away over
+/// a restart.
+constexpr duration standby_after = 15s;
+/// A host whose timers are late by so much calls itself busy: work waits for
+/// the processor. Below the second figure it does not any more.
+constexpr double busy_ms = 20;
+constexpr double idle_ms = 6;
+/// Weight of one timer: about the last two seconds count.
+constexpr double lateness_gain = 0.05;
+
 /// After SIGTERM clients still come for the directory's lifetime.
 constexpr duration farewell = 3200ms;
 /// Kept back from the grace for the last answers and the exit.
@@ -112,10 +122,13 @@
     void sweep();
     void follow_store();
     void gossip();
+    void send(std::vector<fleet::outgoing_message> const& messages);
     void hear(std::string_view sender, std::string_view bytes);
     void await_signal();
     void begin_shutdown();
     void check_shutdown(time_point now);
+    void check_duty(time_point now);
+    void measure_lateness(time_point now);
     void check_settings(time_point now);
     void reload(char const* why);
     endpoint_answer answer_readiness(std::string_view method,
@@ -154,6 +167,11 @@
     std::set<std::string> listed_zones_;
     bool listing_ = false;
 
+    bool serving_ = false;          ///< takes clients; otherwise stands by
+    time_point last_needed_{};      ///< when it last belonged to the set
+    time_point last_sweep_{};
+    double lateness_ms_ = 0;        ///< of the sweep's timer, smoothed
+
     duration suspended_ = eventloop::boot_clock::suspended();
     std::optional<time_point> leaving_since_;
     time_point settings_checked_{};
@@ -235,9 +253,9 @@
               "zone " + settings_.zone + ", clients at " + settings_.clients);
     await_signal();
     every(sweep_timer_, sweep_every, &details::sweep);
-    every(gossip_timer_, gossip_every, &details::gossip);
+    every(gossip_timer_, fleet::fleet_view::round, &details::gossip);
+    follower_.pause();
     gossip();
-    follow_store();
     loop_.run();
     log_.note("host.stopped", settings_.name, "shutdown complete");
     log_.flush();
@@ -268,8 +286,10 @@
         log_.note("host.resumed", settings_.name,
                   fmt::format("after {} ms", (suspended - suspended_) / 1ms));
         follower_.restart(now);
+        fleet_.forget_probes();
     }
     suspended_ = suspended;
+    measure_lateness(now);
     book_.tick(now);
     front_.engine().tick(now);
     front_.sweep();
@@ -279,10 +299,54 @@
     follow_store();
     check_settings(now);
     check_shutdown(now);
+    check_duty(now);
     fleet_.set_ready(ready());
     log_.flush();
 }
 
+void query_host::details::check_duty(time_point now)
+{
+    if (leaving_since_ || !fleet_.settled(now))
+    {
+        return;
+    }
+    if (fleet_.serves())
+    {
+        last_needed_ = now;
+        if (!serving_)
+        {
+            serving_ = true;
+            log_.note("host.serving", settings_.name,
+                      "belongs to the serving set");
+            follower_.resume(now);
+            follow_store();
+        }
+        return;
+    }
+    if (serving_ && now - last_needed_ >= standby_after)
+    {
+        serving_ = false;
+        follower_.pause();
+        log_.note("host.standby", settings_.name,
+                  "others bear the load; follows the store no more");
+    }
+}
+
+void query_host::details::measure_lateness(time_point now)
+{
+    if (last_sweep_ != time_point{})
+    {
+        double const late_ms =
+            std::chrono::duration<double, std::milli>(now - last_sweep_ -
+                                                      sweep_every)
+                .count();
+        lateness_ms_ += lateness_gain * (late_ms - lateness_ms_);
+    }
+    last_sweep_ = now;
+    bool const was_busy = fleet_.self().busy;
+    fleet_.set_busy(lateness_ms_ > (was_busy ? idle_ms : busy_ms));
+}
+
 void query_host::details::follow_store()
 {
     follower_.tick(time_.now());
@@ -357,30 +421,33 @@
 
 bool query_host::details::ready()
 {
-    return !leaving_since_ && follower_.synchronized() &&
+    return !leaving_since_ && serving_ && follower_.synchronized() &&
            front_.engine().catalogue() != nullptr;
 }
 
 void query_host::details::gossip()
 {
-    time_point const now = time_.now();
-    auto const peers = fleet_.next_round(now);
-    std::string const bytes = encode_states(fleet_.news(now));
-    for (auto const& ip : peers)
+    send(fleet_.tick(time_.now()));
+}
+
+void query_host::details::send(
+    std::vector<fleet::outgoing_message> const& messages)
+{
+    for (auto const& m : messages)
     {
-        port_->send(ip, bytes);
+        port_->send(m.to, encode_message(m.message));
     }
 }
 
 void query_host::details::hear(std::string_view sender, std::string_view bytes)
 {
-    auto const states = decode_states(bytes);
-    if (!states)
+    auto const message = decode_message(bytes);
+    if (!message)
     {
-        log_.note("gossip.unreadable", sender, states.error().detail);
+        log_.note("gossip.unreadable", sender, message.error().detail);
         return;
     }
-    fleet_.merge(sender, states.value(), time_.now());
+    send(fleet_.hear(std::string(sender), message.value(), time_.now()));
 }
 
 void query_host::details::await_signal()
@@ -415,7 +482,7 @@
     fleet_.set_ready(false);
     fleet_.set_leaving();
     front_.server().set_closing();
-    gossip();
+    send(fleet_.announce());
 }
 
 void query_host::details::check_shutdown(time_point now)
@@ -503,7 +570,7 @@
     }
     auto const port = settings_.clients.substr(settings_.clients.rfind(':'));
     std::vector<std::string> addresses;
-    for (auto const& ip : fleet_.directory(*zone, time_.now()))
+    for (auto const& ip : fleet_.directory(*zone))
     {
         addresses.push_back(ip + port);
     }
@@ -538,7 +605,7 @@
                     settings_.name, settings_.zone, ready(),
                     leaving_since_.has_value(),
                     catalogue == nullptr ? 0 : catalogue->version(),
-                    fleet_.live_hosts(now), book_.usable_count(),
+                    fleet_.live_hosts(), book_.usable_count(),
                     (now - follower_.last_contact()) / 1ms)};
     }
     return {};
@@ -563,7 +630,7 @@
     print_metric(text, "targets", static_cast<double>(book_.size()));
     print_metric(text, "targets_usable",
                  static_cast<double>(book_.usable_count()));
-    print_metric(text, "live_hosts", fleet_.live_hosts(now));
+    print_metric(text, "live_hosts", fleet_.live_hosts());
     print_metric(text, "configuration_version",
                  catalogue == nullptr
                      ? 0.0
--- a/registry/include/registry/store_follower.hpp
+++ b/registry/include/registry/store_follower.hpp
@@ -46,6 +46,10 @@
     /// The machine was suspended: what is open may have been lost.
     void restart(time_point now);
 
+    /// Stops following until resume, which begins with a new listing.
+    void pause();
+    void resume(time_point now);
+
     bool synchronized() const { return synchronized_; }
     bool in_contact() const { return failures_ == 0; }
     time_point last_contact() const { return last_contact_; }
@@ -63,6 +67,7 @@
 
     bool listing_ = true;
     bool open_ = false;         ///< a call is on its way
+    bool paused_ = false;
     bool synchronized_ = false; ///< one listing has been whole
     std::string after_;         ///< listing: the last key
     std::uint64_t revision_ = 0; ///< changes up to it are known
--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -30,7 +30,7 @@
 
 void store_follower::tick(time_point now)
 {
-    if (open_ || now < next_call_)
+    if (open_ || paused_ || now < next_call_)
     {
         return;
     }
@@ -131,8 +131,29 @@
                            pause * (0.75 + 0.5 * random_.unit()));
 }
 
+void store_follower::pause()
+{
+    paused_ = true;
+    port_.cancel();
+    open_ = false;
+    synchronized_ = false;
+}
+
+void store_follower::resume(time_point now)
+{
+    paused_ = false;
+    listing_ = true;
+    after_.clear();
+    failures_ = 0;
+    next_call_ = now;
+}
+
 void store_follower::restart(time_point now)
 {
+    if (paused_)
+    {
+        return;
+    }
     port_.cancel();
     open_ = false;
     next_call_ = now;
