--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -305,7 +305,7 @@
         !r.may_have_run() && r.outstanding == 0 &&
         (error == error_kind::target_failed ||
          error == error_kind::target_timeout);
-    if (certain && now < r.deadline)
+    if (certain)
     {
         error = error_kind::overloaded;
     }
--- /dev/null
+++ b/serving/tests/catalogue_and_merge_test.cpp
@@ -0,0 +1,76 @@
+// Look-up of routes and merging of parts.
+#include <catch2/catch.hpp>
+#include <serving/latency_estimate.hpp>
+#include <serving/part_merge.hpp>
+#include <serving/route_catalogue.hpp>
+
+namespace kumquatramp::serving
+{
+
+namespace
+{
+
+route make_route(std::string name, std::string host, std::string prefix)
+{
+    route r;
+    r.name = std::move(name);
+    r.host = std::move(host);
+    r.prefix = std::move(prefix);
+    r.split = {{"s", 1.0}};
+    return r;
+}
+
+std::string merged(std::vector<std::string> const& parts, std::size_t count)
+{
+    std::vector<std::string const*> pointers;
+    for (auto const& p : parts)
+    {
+        pointers.push_back(&p);
+    }
+    return merge_parts(pointers, count);
+}
+
+std::string record(char c)
+{
+    return std::string(record_bytes - 1, '\x80') + c;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    catalogue_data data;
+    data.routes = {make_route("short", "a.example", "/x/"),
+                   make_route("long", "a.example", "/x/y/"),
+                   make_route("other", "b.example", "/x/y/z/")};
+    route_catalogue const c(data);
+    CHECK(c.find("a.example", "/x/y/z")->name == "long");
+    CHECK(c.find("A.Example:8080", "/x/q?y=/x/y/")->name == "short");
+    CHECK(c.find("a.example", "/x?/") == nullptr);
+    CHECK(c.find("c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("the greatest records of all parts, falling, equal ones included")
+{
+    std::string const a = record('a') + record('d');
+    std::string const b = record('d') + record('c') + "remainder";
+    CHECK(merged({a, b}, 3) == record('d') + record('d') + record('c'));
+    CHECK(merged({a, b}, 10).size() == 4 * record_bytes);
+    CHECK(merged({"short"}, 5).empty());
+    std::string const high(record_bytes, '\xff');
+    CHECK(merged({a, high}, 1) == high);
+}
+
+TEST_CASE("paused targets do not raise the usual latency")
+{
+    latency_estimate estimate(150ms);
+    for (int i = 0; i < 400; ++i)
+    {
+        estimate.add(i % 25 == 0 ? duration(220ms) : duration(20ms));
+    }
+    CHECK(estimate.usual() < 26ms);
+    CHECK(estimate.overdue_after() > estimate.usual());
+    CHECK(estimate.overdue_after() < 80ms);
+}
+
+} // namespace kumquatramp::serving
--- /dev/null
+++ b/serving/tests/engine_world.cpp
@@ -0,0 +1,185 @@
+// Plays targets for one engine.
+#include "engine_world.hpp"
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace kumquatramp::serving::testing
+{
+
+serving_options engine_world::default_options()
+{
+    serving_options o;
+    o.retry_ratio = 0.2;
+    o.retry_slack = 100;
+    return o;
+}
+
+engine_world::engine_world(serving_options options, std::uint64_t seed)
+    : random(seed)
+    , book("zone-a", 2s, random, log)
+    , warmup("self")
+    , engine(options, random, book, fleet, warmup, *this)
+{
+}
+
+void engine_world::add_targets(std::string const& service,
+                               std::vector<std::string> const& zones,
+                               int slots)
+{
+    for (auto const& zone : zones)
+    {
+        target_record record;
+        record.id = service + "-" + zone;
+        record.service = service;
+        record.address = "10.0.0.1:80";
+        record.zone = zone;
+        record.slots = slots;
+        book.put(record, now);
+    }
+}
+
+void engine_world::configure(std::vector<std::string> const& services,
+                             double min_coverage, std::uint64_t version)
+{
+    catalogue_data data;
+    data.version = version;
+    route all;
+    all.name = "all";
+    all.host = "shop.example";
+    all.prefix = "/all/";
+    all.idempotent = true;
+    all.timeout = 800ms;
+    all.latency_objective = 150ms;
+    all.max_attempts = 2;
+    all.shards = services;
+    all.top_records = 10;
+    all.min_coverage = min_coverage;
+    data.routes.push_back(all);
+    for (auto const& service : services)
+    {
+        route plain = all;
+        plain.name = "plain-" + service;
+        plain.prefix = "/" + service + "/";
+        plain.shards.clear();
+        plain.split = {{service, 1.0}};
+        data.routes.push_back(plain);
+        plain.name = "once-" + service;
+        plain.prefix = "/once/" + service + "/";
+        plain.idempotent = false;
+        data.routes.push_back(plain);
+        data.services.push_back({service, "/healthz", 80, 0});
+    }
+    engine.set_catalogue(std::make_shared<route_catalogue const>(data));
+}
+
+void engine_world::submit(request_handle handle, std::string_view path,
+                          duration time_left)
+{
+    engine.submit({handle, "shop.example", path, time_left}, now);
+}
+
+void engine_world::advance(duration length)
+{
+    time_point const end = now + length;
+    while (engine.next_due() <= end)
+    {
+        now = std::max(now, engine.next_due());
+        engine.tick(now);
+    }
+    now = end;
+    engine.tick(now);
+}
+
+attempt_handle engine_world::newest_at(std::string const& target) const
+{
+    for (auto it = open_.rbegin(); it != open_.rend(); ++it)
+    {
+        if (it->second.to->record.id == target)
+        {
+            return it->first;
+        }
+    }
+    FAIL("no attempt is open at " << target);
+    return 0;
+}
+
+void engine_world::reply_ok(std::string const& target, std::string body)
+{
+    attempt_handle const attempt = newest_at(target);
+    open_.erase(attempt);
+    target_reply r;
+    r.kind = reply_kind::answered;
+    r.status = 200;
+    r.stamped = true;
+    r.stamp = "stamp-" + target;
+    r.body = std::move(body);
+    engine.on_reply(attempt, r, now);
+}
+
+void engine_world::reply(std::string const& target, reply_kind kind,
+                         int status)
+{
+    attempt_handle const attempt = newest_at(target);
+    open_.erase(attempt);
+    target_reply r;
+    r.kind = kind;
+    r.status = status;
+    r.stamped = kind == reply_kind::answered;
+    r.stamp = r.stamped ? "stamp-" + target : "";
+    r.cause = "by the test";
+    engine.on_reply(attempt, r, now);
+}
+
+void engine_world::reply_all_but(std::vector<std::string> const& silent)
+{
+    std::vector<std::string> targets;
+    for (auto const& [attempt, order] : open_)
+    {
+        targets.push_back(order.to->record.id);
+    }
+    for (auto const& t : targets)
+    {
+        if (std::find(silent.begin(), silent.end(), t) == silent.end())
+        {
+            reply_ok(t);
+        }
+    }
+}
+
+bool engine_world::open_at(std::string const& target) const
+{
+    return std::any_of(open_.begin(), open_.end(), [&](auto const& entry)
+                       { return entry.second.to->record.id == target; });
+}
+
+std::size_t engine_world::sends_to(std::string const& target) const
+{
+    return static_cast<std::size_t>(
+        std::count(sent.begin(), sent.end(), target));
+}
+
+void engine_world::start_attempt(attempt_order const& order)
+{
+    open_[order.attempt] = order;
+    sent.push_back(order.to->record.id);
+}
+
+void engine_world::abandon_attempt(attempt_handle attempt)
+{
+    abandoned.push_back(attempt);
+}
+
+void engine_world::answer(request_handle request, client_answer answer)
+{
+    INFO("request " << request << " has one answer");
+    REQUIRE_FALSE(answers.contains(request));
+    answers.emplace(request, std::move(answer));
+}
+
+void engine_world::log_request(request_handle request, bool,
+                               std::string_view story)
+{
+    stories[request] = story;
+}
+
+} // namespace kumquatramp::serving::testing
--- /dev/null
+++ b/serving/tests/engine_world.hpp
@@ -0,0 +1,105 @@
+// One request engine with targets that are played by the test.
+#ifndef KUMQUATRAMP_SERVING_TESTS_ENGINE_WORLD_HPP
+#define KUMQUATRAMP_SERVING_TESTS_ENGINE_WORLD_HPP
+
+#include <base/seeded_random.hpp>
+#include <map>
+#include <memory>
+#include <serving/belief_log.hpp>
+#include <serving/client_answer.hpp>
+#include <serving/engine_port.hpp>
+#include <serving/fleet_size.hpp>
+#include <serving/request_engine.hpp>
+#include <serving/route_catalogue.hpp>
+#include <serving/target.hpp>
+#include <serving/target_book.hpp>
+#include <serving/target_reply.hpp>
+#include <serving/warmup_share.hpp>
+#include <string>
+#include <vector>
+
+namespace kumquatramp::serving::testing
+{
+
+/// Keeps the names of events.
+class recorded_log final : public belief_log
+{
+public:
+    void note(std::string_view event, std::string_view subject,
+              std::string_view) override
+    {
+        events.emplace_back(std::string(event) + " " + std::string(subject));
+    }
+
+    std::vector<std::string> events;
+};
+
+class fixed_fleet final : public fleet_size
+{
+public:
+    int hosts(time_point) const override { return count; }
+    int rank(std::string_view, time_point) const override { return place; }
+
+    int count = 1;
+    int place = 0;
+};
+
+/// Records what the engine wants; the test answers.
+class engine_world : public engine_port
+{
+public:
+    explicit engine_world(serving_options options = default_options(),
+                          std::uint64_t seed = 1);
+
+    static serving_options default_options();
+
+    /// Targets of a service, one a zone: ids are "SERVICE-ZONE".
+    void add_targets(std::string const& service,
+                     std::vector<std::string> const& zones, int slots = 4);
+    /// A scattered route /all/ over the services, and per service a plain
+    /// route /SERVICE/ (safe) and /once/SERVICE/ (not repeatable).
+    void configure(std::vector<std::string> const& services,
+                   double min_coverage, std::uint64_t version = 1);
+
+    void submit(request_handle handle, std::string_view path,
+                duration time_left = 800ms);
+    void advance(duration length);
+
+    /// Answers the newest open attempt at a target.
+    void reply_ok(std::string const& target, std::string body = "part");
+    void reply(std::string const& target, reply_kind kind, int status = 0);
+    /// Answers all open attempts but those at the targets named.
+    void reply_all_but(std::vector<std::string> const& silent = {});
+
+    bool open_at(std::string const& target) const;
+    std::size_t open_count() const { return open_.size(); }
+    std::size_t sends_to(std::string const& target) const;
+
+    void start_attempt(attempt_order const& order) override;
+    void abandon_attempt(attempt_handle attempt) override;
+    void answer(request_handle request, client_answer answer) override;
+    void log_request(request_handle request, bool failed,
+                     std::string_view story) override;
+
+    time_point now = time_point(1h);
+    seeded_random random;
+    recorded_log log;
+    fixed_fleet fleet;
+    target_book book;
+    warmup_share warmup;
+    request_engine engine;
+
+    std::map<request_handle, client_answer> answers;
+    std::map<request_handle, std::string> stories;
+    std::vector<std::string> sent; ///< targets in the order of sends
+    std::vector<attempt_handle> abandoned;
+
+private:
+    attempt_handle newest_at(std::string const& target) const;
+
+    std::map<attempt_handle, attempt_order> open_;
+};
+
+} // namespace kumquatramp::serving::testing
+
+#endif
--- /dev/null
+++ b/serving/tests/retry_budget_test.cpp
@@ -0,0 +1,171 @@
+// The retry budget keeps a bound that the whole fleet shares.
+#include <base/seeded_random.hpp>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <serving/retry_budget.hpp>
+#include <serving/warmup_share.hpp>
+#include <vector>
+
+namespace kumquatramp::serving
+{
+
+namespace
+{
+
+constexpr double ratio = 0.2;
+constexpr double slack = 116;
+constexpr duration window = 10s;
+constexpr time_point start = time_point(1h);
+
+/// Times of requests and of extra sends over all hosts.
+struct fleet_count
+{
+    std::deque<time_point> requests;
+    std::deque<time_point> extras;
+
+    /// Extra sends within any window against the bound of that window.
+    bool holds() const
+    {
+        for (time_point const from : extras)
+        {
+            auto const within = [&](std::deque<time_point> const& times,
+                                    duration shift)
+            {
+                return std::count_if(times.begin(), times.end(),
+                                     [&](time_point t)
+                                     {
+                                         return t >= from - shift &&
+                                                t < from - shift + window;
+                                     });
+            };
+            auto const requests_seen =
+                std::max({within(requests, 0ns), within(requests, window),
+                          within(requests, window / 2)});
+            if (static_cast<double>(within(extras, 0ns)) >
+                ratio * static_cast<double>(requests_seen) + slack)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+};
+
+std::vector<retry_budget> budgets(int hosts, time_point started)
+{
+    std::vector<retry_budget> all(static_cast<std::size_t>(hosts));
+    for (auto& b : all)
+    {
+        b.configure(ratio, slack, window, started);
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("load pattern all overdue: extra sends keep the bound of the fleet")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        constexpr int hosts = 15;
+        seeded_random random(seed);
+        auto all = budgets(hosts, start - 1h);
+        fleet_count count;
+        time_point now = start;
+        for (int i = 0; i < 6000; ++i)
+        {
+            // Traffic swells and ebbs; each request wants an extra send.
+            now += i / 1500 % 2 == 0 ? 4ms : 9ms;
+            auto& b = all[random.below(hosts)];
+            b.count_request(now);
+            count.requests.push_back(now);
+            if (b.spend(retry_budget::use::retry, hosts, now))
+            {
+                count.extras.push_back(now);
+            }
+        }
+        INFO("seed " << seed);
+        CHECK(count.extras.size() > 500);
+        CHECK(count.holds());
+    }
+}
+
+TEST_CASE("load pattern herd kill: restarted hosts do not spend the slack of "
+          "their earlier lives again")
+{
+    constexpr int hosts = 18;
+    seeded_random random(9);
+    auto all = budgets(hosts, start - 1h);
+    fleet_count count;
+    time_point now = start;
+    for (int i = 0; i < 9000; ++i)
+    {
+        now += 4ms;
+        if (i == 3000 || i == 3600 || i == 4200)
+        {
+            all = budgets(hosts, now);
+        }
+        auto& b = all[random.below(hosts)];
+        b.count_request(now);
+        count.requests.push_back(now);
+        if (b.spend(retry_budget::use::retry, hosts, now))
+        {
+            count.extras.push_back(now);
+        }
+    }
+    CHECK(count.holds());
+}
+
+TEST_CASE("hedges leave a part of the budget for failures")
+{
+    auto b = budgets(1, start - 1h).front();
+    for (int i = 0; i < 100; ++i)
+    {
+        b.count_request(start);
+    }
+    int hedges = 0;
+    while (b.spend(retry_budget::use::hedge, 1, start))
+    {
+        ++hedges;
+    }
+    CHECK(hedges > 0);
+    CHECK(b.scarce(1, start));
+    CHECK(b.spend(retry_budget::use::retry, 1, start));
+}
+
+TEST_CASE("a cold target gets no more from all hosts than it bears")
+{
+    for (double const rate : {3.0, 20.0, 200.0})
+    {
+        constexpr int hosts = 137;
+        std::vector<warmup_share> all;
+        for (int i = 0; i < hosts; ++i)
+        {
+            all.emplace_back("host-" + std::to_string(i));
+        }
+        std::deque<time_point> sent;
+        time_point now = start;
+        std::size_t most = 0;
+        for (int ms = 0; ms < 5000; ++ms)
+        {
+            now += 1ms;
+            for (int i = 0; i < hosts; ++i)
+            {
+                if (all[static_cast<std::size_t>(i)].spend("t", rate, i, hosts,
+                                                           now))
+                {
+                    sent.push_back(now);
+                }
+            }
+            while (!sent.empty() && sent.front() <= now - 1s)
+            {
+                sent.pop_front();
+            }
+            most = std::max(most, sent.size());
+        }
+        CHECK(static_cast<double>(most) <= rate);
+        CHECK(static_cast<double>(most) >= rate * 0.9);
+    }
+}
+
+} // namespace kumquatramp::serving
