--- /dev/null
+++ b/host/tests/host_settings_test.cpp
@@ -0,0 +1,89 @@
+// The settings file and the codec between hosts.
+#include "gossip_codec.hpp"
+#include <catch2/catch.hpp>
+#include <host/host_settings.hpp>
+
+namespace kumquatramp::host
+{
+
+namespace
+{
+
+constexpr char good[] = "[host]\nname = h1\nip = 10.0.0.1\nzone = z\n"
+                        "cpu_share = 0.17\n"
+                        "[listen]\nclients = 10.0.0.1:80\n"
+                        "[fleet]\ngossip_port = 7740\n"
+                        "seeds = 10.0.0.1:90, 10.0.0.2:90\n"
+                        "[store]\naddress = 10.9.0.1:70\n"
+                        "[bounds]\nretry_slack = 116\ndrain_ms = 5000\n"
+                        "shutdown_grace_s = 6\n";
+
+std::string without(std::string const& line)
+{
+    std::string text = good;
+    auto const at = text.find(line);
+    text.erase(at, line.size());
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("a settings file is read")
+{
+    auto const s = parse_settings(good);
+    REQUIRE(s);
+    CHECK(s.value().seeds.size() == 2);
+    CHECK(s.value().retry_slack == 116);
+    CHECK(s.value().drain_bound == 5s);
+    CHECK(s.value().shutdown_grace == 6s);
+    CHECK(s.value().retry_window == 10s);
+    CHECK(s.value().cpu_share == 0.17);
+}
+
+TEST_CASE("a fault in the settings is named")
+{
+    CHECK(parse_settings(without("zone = z\n")).error().detail ==
+          "host.zone is missing");
+    CHECK(parse_settings(without("gossip_port = 7740\n")).error().detail ==
+          "fleet.gossip_port is no port");
+    std::string const text = std::string(good) + "contact_ms = soon\n";
+    CHECK(parse_settings(text).error().detail ==
+          "bounds.contact_ms is no number of zero or more");
+    CHECK(parse_settings("[host\n").error().detail.find("line 1") == 0);
+    CHECK_FALSE(read_settings("/nonexistent/settings.ini"));
+}
+
+TEST_CASE("messages between hosts survive the wire, others are refused")
+{
+    fleet::fleet_message message;
+    message.kind = fleet::message_kind::indirect_ping;
+    message.number = 7;
+    message.subject = "10.0.0.9";
+    message.states.push_back({.ip = "10.0.0.1",
+                              .zone = "z",
+                              .incarnation = 1ULL << 50U,
+                              .version = 3,
+                              .health = fleet::peer_health::suspect,
+                              .ready = true,
+                              .leaving = false,
+                              .busy = true,
+                              .weight = 170});
+    std::string const bytes = encode_message(message);
+    auto const back = decode_message(bytes);
+    REQUIRE(back);
+    CHECK(back.value().subject == "10.0.0.9");
+    REQUIRE(back.value().states.size() == 1);
+    auto const& s = back.value().states.front();
+    CHECK(s.incarnation == 1ULL << 50U);
+    CHECK(s.health == fleet::peer_health::suspect);
+    CHECK(s.ready);
+    CHECK(s.busy);
+    CHECK_FALSE(s.leaving);
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+    {
+        CHECK_FALSE(decode_message(std::string_view(bytes).substr(0, size)));
+    }
+    CHECK_FALSE(decode_message("HTTP/1.1 200 OK"));
+}
+
+} // namespace kumquatramp::host
--- /dev/null
+++ b/registry/tests/store_follower_test.cpp
@@ -0,0 +1,195 @@
+// Following the store through pages, lost history and outages.
+#include <base/seeded_random.hpp>
+#include <catch2/catch.hpp>
+#include <registry/store_follower.hpp>
+#include <registry/store_port.hpp>
+#include <registry/store_sink.hpp>
+#include <string>
+#include <vector>
+
+namespace kumquatramp::registry
+{
+
+namespace
+{
+
+class recorded_port final : public store_port
+{
+public:
+    void list(std::string const& after) override
+    {
+        calls.push_back("list " + after);
+    }
+    void watch(std::uint64_t revision, duration) override
+    {
+        calls.push_back("watch " + std::to_string(revision));
+    }
+    void cancel() override { calls.emplace_back("cancel"); }
+
+    std::vector<std::string> calls;
+};
+
+class recorded_sink final : public store_sink
+{
+public:
+    void begin_listing() override { events.emplace_back("begin"); }
+    void apply(store_item const& item, time_point) override
+    {
+        events.push_back((item.deleted ? "-" : "+") + item.key);
+    }
+    void end_listing(time_point) override { events.emplace_back("end"); }
+
+    std::vector<std::string> events;
+};
+
+class silent_log final : public serving::belief_log
+{
+public:
+    void note(std::string_view event, std::string_view,
+              std::string_view) override
+    {
+        events.emplace_back(event);
+    }
+    std::vector<std::string> events;
+};
+
+struct fixture
+{
+    time_point now = time_point(1h);
+    recorded_port port;
+    recorded_sink sink;
+    silent_log log;
+    seeded_random random{1};
+    store_follower follower{{}, port, sink, random, log};
+
+    void advance(duration length)
+    {
+        now += length;
+        follower.tick(now);
+    }
+
+    /// Through the first listing.
+    void synchronize()
+    {
+        follower.tick(now);
+        follower.on_answer({{{"a", "", false}}, 10, false}, now);
+        follower.tick(now);
+        port.calls.clear();
+        sink.events.clear();
+    }
+};
+
+} // namespace
+
+TEST_CASE("pages are no snapshot: changes are watched from the first one on")
+{
+    fixture f;
+    f.follower.tick(f.now);
+    f.follower.on_answer({{{"a", "", false}, {"b", "", false}}, 10, true},
+                         f.now);
+    CHECK_FALSE(f.follower.synchronized());
+    f.follower.tick(f.now);
+    f.follower.on_answer({{{"c", "", false}}, 14, false}, f.now);
+    f.follower.tick(f.now);
+    CHECK(f.port.calls ==
+          std::vector<std::string>{"list ", "list b", "watch 10"});
+    CHECK(f.sink.events ==
+          std::vector<std::string>{"begin", "+a", "+b", "+c", "end"});
+    CHECK(f.follower.synchronized());
+}
+
+TEST_CASE("one call at a time, and a pause after changes")
+{
+    fixture f;
+    f.synchronize();
+    f.advance(1s);
+    CHECK(f.port.calls.empty());
+    f.follower.on_answer({{{"x", "", true}}, 12, false}, f.now);
+    f.follower.tick(f.now);
+    CHECK(f.port.calls.empty());
+    f.advance(400ms);
+    CHECK(f.port.calls == std::vector<std::string>{"watch 12"});
+    CHECK(f.sink.events == std::vector<std::string>{"-x"});
+}
+
+TEST_CASE("history that has gone leads to a new listing")
+{
+    fixture f;
+    f.synchronize();
+    f.follower.on_failure(store_failure::history_lost, "", f.now);
+    f.follower.tick(f.now);
+    CHECK(f.port.calls == std::vector<std::string>{"list "});
+    CHECK(f.sink.events == std::vector<std::string>{"begin"});
+    CHECK(f.follower.synchronized());
+}
+
+TEST_CASE("load pattern store outage: calls grow rare and resume at once after "
+          "it")
+{
+    fixture f;
+    f.synchronize();
+    f.follower.on_failure(store_failure::unavailable, "reset", f.now);
+    CHECK_FALSE(f.follower.in_contact());
+    int calls = 0;
+    duration longest{};
+    time_point last = f.now;
+    time_point const end = f.now + 10s;
+    while (f.now < end)
+    {
+        f.advance(10ms);
+        if (!f.port.calls.empty())
+        {
+            ++calls;
+            longest = std::max(longest, f.now - last);
+            last = f.now;
+            f.port.calls.clear();
+            f.follower.on_failure(store_failure::busy, "busy", f.now);
+        }
+    }
+    CHECK(calls <= 15);
+    // A version must be in force 3 s after the store is back.
+    CHECK(longest < 1500ms);
+    f.advance(1500ms);
+    f.follower.on_answer({{}, 11, false}, f.now);
+    CHECK(f.follower.in_contact());
+    CHECK(std::count(f.log.events.begin(), f.log.events.end(), "store.lost") ==
+          1);
+    CHECK(std::count(f.log.events.begin(), f.log.events.end(),
+                     "store.regained") == 1);
+}
+
+TEST_CASE("a listing that fails midway goes on where it was")
+{
+    fixture f;
+    f.follower.tick(f.now);
+    f.follower.on_answer({{{"a", "", false}}, 10, true}, f.now);
+    f.follower.tick(f.now);
+    f.follower.on_failure(store_failure::unavailable, "", f.now);
+    f.advance(1s);
+    CHECK(f.port.calls == std::vector<std::string>{"list ", "list a", "list a"});
+}
+
+TEST_CASE("a host that stands by calls nothing and begins anew")
+{
+    fixture f;
+    f.synchronize();
+    f.follower.pause();
+    f.port.calls.clear();
+    f.advance(30s);
+    CHECK(f.port.calls.empty());
+    CHECK_FALSE(f.follower.synchronized());
+    f.follower.resume(f.now);
+    f.follower.tick(f.now);
+    CHECK(f.port.calls == std::vector<std::string>{"list "});
+}
+
+TEST_CASE("after a suspension the open call is given up")
+{
+    fixture f;
+    f.synchronize();
+    f.follower.restart(f.now);
+    f.follower.tick(f.now);
+    CHECK(f.port.calls == std::vector<std::string>{"cancel", "watch 10"});
+}
+
+} // namespace kumquatramp::registry
