Tests of the event loop over real sockets; refuse names that are no token

Cause: the codec lets a header name with a space through, which a target may read as another header (found by the test of ambiguous framing). Change: names must be tokens, values free of control characters.

--- a/eventloop/src/message_reader.cpp
+++ b/eventloop/src/message_reader.cpp
@@ -1,5 +1,7 @@
 // http_parser's callbacks fill a message.
+#include <algorithm>
 #include <eventloop/message_reader.hpp>
+#include <string_view>
 
 namespace kumquatramp::eventloop
 {
@@ -12,6 +14,37 @@
     return static_cast<message_reader*>(p->data);
 }
 
+/// The characters of a header's name (RFC 9110, token).
+bool is_token(std::string_view name)
+{
+    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+    return !name.empty() &&
+           std::all_of(name.begin(), name.end(),
+                       [&](char c)
+                       {
+                           return (c >= '0' && c <= '9') ||
+                                  (c >= 'A' && c <= 'Z') ||
+                                  (c >= 'a' && c <= 'z') ||
+                                  symbols.find(c) != std::string_view::npos;
+                       });
+}
+
+bool is_text(std::string_view value)
+{
+    return std::none_of(value.begin(), value.end(),
+                        [](unsigned char c)
+                        { return (c < 0x20 && c != '\t') || c == 0x7f; });
+}
+
+/// The library lets through names with spaces, which another parser may read
+/// as another header.
+bool well_formed(std::vector<header_line> const& headers)
+{
+    return std::all_of(headers.begin(), headers.end(),
+                       [](header_line const& line)
+                       { return is_token(line.name) && is_text(line.value); });
+}
+
 /// http_parser's own bound stands above every limit of a configuration.
 constexpr std::uint32_t parser_header_bound = 1U << 24U;
 
@@ -170,6 +203,11 @@
 {
     auto* r = self(p);
     r->state_ = progress::body;
+    if (!well_formed(r->message_.headers))
+    {
+        r->state_ = progress::malformed;
+        return -1;
+    }
     p->upgrade = p->method == HTTP_CONNECT ? p->upgrade : 0;
     r->message_.keep_alive = http_should_keep_alive(p) != 0;
     if (r->kind_ == kind::request)
--- /dev/null
+++ b/eventloop/tests/http_server_test.cpp
@@ -0,0 +1,230 @@
+// The server's side of a connection, over real sockets.
+#include "raw_socket.hpp"
+#include <catch2/catch.hpp>
+#include <eventloop/boot_clock.hpp>
+#include <eventloop/http_message.hpp>
+#include <eventloop/http_server.hpp>
+#include <vector>
+
+namespace kumquatramp::eventloop
+{
+
+using testing::raw_socket;
+
+namespace
+{
+
+std::string ok(std::string const& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+struct fixture : request_handler
+{
+    fixture()
+    {
+        serving::edge_limits limits;
+        limits.header_bytes = 500;
+        limits.body_bytes = 100;
+        limits.header_timeout = 60ms;
+        limits.idle_timeout = 150ms;
+        server.set_limits(limits);
+        asio::ip::tcp::acceptor free_port(
+            loop, {asio::ip::make_address("127.0.0.1"), 0});
+        at = free_port.local_endpoint();
+        free_port.close();
+        server.listen(at);
+    }
+
+    void on_request(exchange_id exchange, http_message& message) override
+    {
+        targets.push_back(message.target);
+        open = exchange;
+        if (answers_at_once)
+        {
+            server.respond(exchange, ok(message.target + message.body), false);
+        }
+    }
+    void on_client_gone(exchange_id) override { ++gone; }
+    std::string rejection(error_kind kind) override
+    {
+        rejected.push_back(kind);
+        return "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    raw_socket client() { return raw_socket::connect(loop, at); }
+    void run(int ms)
+    {
+        for (int i = 0; i < ms; ++i)
+        {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds(1));
+            server.sweep();
+        }
+    }
+
+    asio::io_context loop{1};
+    boot_clock time;
+    http_server server{loop, time, *this};
+    asio::ip::tcp::endpoint at;
+    std::vector<std::string> targets;
+    std::vector<error_kind> rejected;
+    exchange_id open = 0;
+    bool answers_at_once = true;
+    int gone = 0;
+};
+
+} // namespace
+
+TEST_CASE("requests one after the other on a kept connection")
+{
+    fixture f;
+    auto c = f.client();
+    c.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    c.receive_until(f.loop, "/1");
+    c.send("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx");
+    c.receive_until(f.loop, "/2x");
+    CHECK(f.targets == std::vector<std::string>{"/1", "/2"});
+    CHECK_FALSE(c.ended());
+}
+
+TEST_CASE("requests sent ahead are answered in their order")
+{
+    fixture f;
+    auto c = f.client();
+    c.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 "
+           "HTTP/1.1\r\n\r\n");
+    auto const all = c.receive_until(f.loop, "/3");
+    CHECK(all.find("/1") < all.find("/2"));
+    CHECK(all.find("/2") < all.find("/3"));
+}
+
+TEST_CASE("a client that closes before its answer is reported once")
+{
+    fixture f;
+    f.answers_at_once = false;
+    SECTION("in order")
+    {
+        auto c = f.client();
+        c.send("GET /1 HTTP/1.1\r\n\r\n");
+        f.run(20);
+        c.close();
+        f.run(20);
+    }
+    SECTION("by a reset")
+    {
+        auto c = f.client();
+        c.send("GET /1 HTTP/1.1\r\n\r\n");
+        f.run(20);
+        c.reset();
+        f.run(20);
+    }
+    CHECK(f.gone == 1);
+    f.server.respond(f.open, ok("late"), false);
+    f.run(5);
+    CHECK(f.server.connections() == 0);
+}
+
+TEST_CASE("bad input is answered and the connection ends")
+{
+    fixture f;
+    auto c = f.client();
+    SECTION("no protocol")
+    {
+        c.send("\x16\x03\x01 hello\r\n\r\n");
+    }
+    SECTION("both a length and chunks")
+    {
+        c.send("POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: "
+               "chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n");
+    }
+    SECTION("headers over the limit")
+    {
+        c.send("GET / HTTP/1.1\r\nX: " + std::string(600, 'x'));
+    }
+    SECTION("a body over the limit")
+    {
+        c.send("POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" +
+               std::string(1000, 'x'));
+    }
+    SECTION("a slow head")
+    {
+        c.send("GET / HTT");
+        f.run(80);
+    }
+    c.receive_until(f.loop, "400");
+    f.run(30);
+    c.take();
+    CHECK(c.received().find("400") != std::string::npos);
+    CHECK(c.ended());
+    CHECK(f.targets.empty());
+    CHECK(f.rejected.size() == 1);
+}
+
+TEST_CASE("a silent client is closed after the idle time, not before")
+{
+    fixture f;
+    auto c = f.client();
+    c.send("GET /1 HTTP/1.1\r\n\r\n");
+    c.receive_until(f.loop, "/1");
+    f.run(100);
+    c.take();
+    CHECK_FALSE(c.ended());
+    f.run(100);
+    c.take();
+    CHECK(c.ended());
+}
+
+TEST_CASE("a client that asks to close gets its whole answer first")
+{
+    fixture f;
+    auto c = f.client();
+    c.send("GET /1 HTTP/1.1\r\nConnection: close\r\n\r\nleft over");
+    c.receive_until(f.loop, "never", 50);
+    CHECK(c.received() == ok("/1"));
+    CHECK(c.ended());
+}
+
+TEST_CASE("a body that is awaited is asked for")
+{
+    fixture f;
+    auto c = f.client();
+    c.send("POST /1 HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: "
+           "1\r\n\r\n");
+    c.receive_until(f.loop, "100 Continue");
+    CHECK(f.targets.empty());
+    c.send("x");
+    c.receive_until(f.loop, "/1x");
+    CHECK(f.targets.size() == 1);
+}
+
+TEST_CASE("an answer larger than the socket takes is written whole")
+{
+    fixture f;
+    f.answers_at_once = false;
+    auto c = f.client();
+    c.send("GET /1 HTTP/1.1\r\n\r\n");
+    f.run(10);
+    std::string const body(8'000'000, 'b');
+    f.server.respond(f.open, ok(body), false);
+    for (int i = 0; i < 2000 && c.received().size() < body.size(); ++i)
+    {
+        f.run(1);
+        c.take();
+    }
+    CHECK(c.received() == ok(body));
+}
+
+TEST_CASE("when the server is closing, answers end their connections")
+{
+    fixture f;
+    auto c = f.client();
+    f.server.set_closing();
+    c.send("GET /1 HTTP/1.1\r\n\r\n");
+    c.receive_until(f.loop, "never", 30);
+    CHECK(c.received() == ok("/1"));
+    CHECK(c.ended());
+}
+
+} // namespace kumquatramp::eventloop
--- /dev/null
+++ b/eventloop/tests/message_reader_test.cpp
@@ -0,0 +1,154 @@
+// Messages in every division of their bytes, and what is none.
+#include <catch2/catch.hpp>
+#include <eventloop/message_reader.hpp>
+
+namespace kumquatramp::eventloop
+{
+
+namespace
+{
+
+using progress = message_reader::progress;
+
+constexpr std::size_t header_limit = 400;
+constexpr std::size_t body_limit = 100;
+
+struct request_reader : message_reader
+{
+    request_reader()
+        : message_reader(kind::request, header_limit, body_limit)
+    {
+    }
+};
+
+struct response_reader : message_reader
+{
+    response_reader()
+        : message_reader(kind::response, header_limit, body_limit)
+    {
+    }
+};
+
+progress read(std::string const& bytes)
+{
+    request_reader reader;
+    reader.feed(bytes);
+    return reader.state();
+}
+
+} // namespace
+
+TEST_CASE("a request in two pieces, divided at every byte")
+{
+    std::string const bytes = "POST /a?b HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n"
+                              "Content-Length: 3\r\n\r\nabcGET";
+    std::size_t const whole = bytes.size() - 3;
+    for (std::size_t cut = 0; cut < whole; ++cut)
+    {
+        request_reader reader;
+        std::size_t used = reader.feed(std::string_view(bytes).substr(0, cut));
+        CHECK(used == cut);
+        used += reader.feed(std::string_view(bytes).substr(cut));
+        INFO("cut at " << cut);
+        REQUIRE(reader.state() == progress::complete);
+        CHECK(used == whole);
+        CHECK(reader.message().method == "POST");
+        CHECK(reader.message().target == "/a?b");
+        CHECK(reader.message().header("x-a") == "1");
+        CHECK(reader.message().body == "abc");
+    }
+}
+
+TEST_CASE("chunks are joined")
+{
+    request_reader reader;
+    reader.feed(std::string_view("POST / HTTP/1.1\r\nTransfer-Encoding: "
+                                 "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n"
+                                 "\r\n"));
+    REQUIRE(reader.state() == progress::complete);
+    CHECK(reader.message().body == "abc");
+}
+
+TEST_CASE("ambiguous framing is refused")
+{
+    CHECK(read("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+               "chunked\r\n\r\n0\r\n\r\n") == progress::malformed);
+    CHECK(read("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: "
+               "4\r\n\r\nabcd") == progress::malformed);
+    CHECK(read("POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\n") ==
+          progress::malformed);
+    CHECK(read("POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n") ==
+          progress::malformed);
+    CHECK(read("POST / HTTP/1.1\r\nTransfer-Encoding: "
+               "chunked\r\n\r\nzz\r\n") == progress::malformed);
+    CHECK(read("GET / HTTP/1.1\r\nBad Name: x\r\n\r\n") ==
+          progress::malformed);
+    CHECK(read("GET / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n") ==
+          progress::malformed);
+    CHECK(read("GET / HTTP/1.1\r\nX: a\x01\r\n\r\n") ==
+          progress::malformed);
+    CHECK(read("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n") !=
+          progress::head);
+    CHECK(read("\x16\x03\x01\x02") == progress::malformed);
+}
+
+TEST_CASE("limits on headers and bodies")
+{
+    std::string const long_header(header_limit, 'x');
+    CHECK(read("GET / HTTP/1.1\r\nX: " + long_header) ==
+          progress::headers_too_large);
+    CHECK(read("GET /" + long_header) == progress::headers_too_large);
+    CHECK(read("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n") ==
+          progress::body_too_large);
+    CHECK(read("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" +
+               std::string(101, 'b')) == progress::body_too_large);
+    std::string blank;
+    for (std::size_t i = 0; i < header_limit; ++i)
+    {
+        blank += "\r\n";
+    }
+    CHECK(read(blank) == progress::malformed);
+}
+
+TEST_CASE("an answer without a length ends with its connection")
+{
+    response_reader reader;
+    reader.feed(std::string_view("HTTP/1.1 200 OK\r\n\r\nabc"));
+    CHECK(reader.state() == progress::body);
+    reader.finish();
+    CHECK(reader.state() == progress::complete);
+    CHECK(reader.message().body == "abc");
+    CHECK_FALSE(reader.message().keep_alive);
+}
+
+TEST_CASE("an answer that ends early is not complete")
+{
+    response_reader reader;
+    reader.feed(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                                 "\r\nabc"));
+    reader.finish();
+    CHECK(reader.state() == progress::malformed);
+    response_reader head;
+    head.feed(std::string_view("HTTP/1.1 200 OK\r\nContent-Le"));
+    head.finish();
+    CHECK(head.state() == progress::malformed);
+}
+
+TEST_CASE("the answer to HEAD has a length and no body")
+{
+    response_reader reader;
+    reader.reset(true);
+    std::string_view const bytes = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                                   "\r\n";
+    CHECK(reader.feed(bytes) == bytes.size());
+    CHECK(reader.state() == progress::complete);
+}
+
+TEST_CASE("headers of one connection are known")
+{
+    CHECK(is_hop_by_hop("keep-alive", ""));
+    CHECK(is_hop_by_hop("X-Mine", "close, x-mine"));
+    CHECK_FALSE(is_hop_by_hop("X-Other", "close, x-mine"));
+}
+
+} // namespace kumquatramp::eventloop
--- /dev/null
+++ b/eventloop/tests/raw_socket.hpp
@@ -0,0 +1,91 @@
+// A plain socket for tests: sends and receives exact bytes.
+#ifndef KUMQUATRAMP_EVENTLOOP_TESTS_RAW_SOCKET_HPP
+#define KUMQUATRAMP_EVENTLOOP_TESTS_RAW_SOCKET_HPP
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <string>
+#include <string_view>
+
+namespace kumquatramp::eventloop::testing
+{
+
+class raw_socket
+{
+public:
+    explicit raw_socket(asio::ip::tcp::socket socket)
+        : socket_(std::move(socket))
+    {
+        socket_.non_blocking(true);
+    }
+
+    /// Connects; the loop under test accepts when it runs.
+    static raw_socket connect(asio::io_context& loop,
+                              asio::ip::tcp::endpoint const& to)
+    {
+        asio::ip::tcp::socket socket(loop);
+        socket.connect(to);
+        return raw_socket(std::move(socket));
+    }
+
+    void send(std::string_view bytes)
+    {
+        asio::error_code ignored;
+        asio::write(socket_, asio::buffer(bytes), ignored);
+    }
+
+    /// Runs the loop until these bytes are in, the peer closes, or time is up.
+    std::string receive_until(asio::io_context& loop, std::string_view mark,
+                              int most_ms = 2000)
+    {
+        for (int i = 0; i < most_ms && !ended_ &&
+                        received_.find(mark) == std::string::npos;
+             ++i)
+        {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds(1));
+            take();
+        }
+        return received_;
+    }
+
+    void take()
+    {
+        char buffer[65536];
+        asio::error_code failed;
+        for (;;)
+        {
+            std::size_t const size =
+                socket_.read_some(asio::buffer(buffer), failed);
+            if (failed)
+            {
+                break;
+            }
+            received_.append(buffer, size);
+        }
+        ended_ = failed != asio::error::would_block;
+    }
+
+    /// Closes with a reset.
+    void reset()
+    {
+        socket_.set_option(asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
+    void close() { socket_.close(); }
+
+    bool ended() const { return ended_; }
+    void clear() { received_.clear(); }
+    std::string const& received() const { return received_; }
+
+private:
+    asio::ip::tcp::socket socket_;
+    std::string received_;
+    bool ended_ = false;
+};
+
+} // namespace kumquatramp::eventloop::testing
+
+#endif
--- /dev/null
+++ b/eventloop/tests/upstream_pool_test.cpp
@@ -0,0 +1,328 @@
+// The target's side: what is an answer, what is none, and what is kept.
+#include "raw_socket.hpp"
+#include <catch2/catch.hpp>
+#include <eventloop/boot_clock.hpp>
+#include <eventloop/http_message.hpp>
+#include <eventloop/upstream_pool.hpp>
+#include <map>
+#include <optional>
+#include <serving/target.hpp>
+
+namespace kumquatramp::eventloop
+{
+
+using testing::raw_socket;
+
+namespace
+{
+
+struct ended
+{
+    send_outcome outcome;
+    std::string body;
+    std::string cause;
+};
+
+struct fixture : upstream_client
+{
+    fixture()
+        : acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        to->record.id = "t1";
+        to->record.address =
+            "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        acceptor.non_blocking(true);
+    }
+
+    std::string request_bytes(serving::attempt_handle attempt) override
+    {
+        return wanted ? "GET /" + std::to_string(attempt) +
+                            " HTTP/1.1\r\nX-Id: " + std::to_string(attempt) +
+                            "\r\n\r\n" + extra
+                      : "";
+    }
+    bool belongs(serving::attempt_handle attempt,
+                 http_message const& answer) override
+    {
+        auto const id = answer.header("X-Id");
+        return id.empty() || id == std::to_string(attempt);
+    }
+    void on_end(serving::attempt_handle attempt, send_outcome outcome,
+                http_message* answer, char const* cause) override
+    {
+        CHECK_FALSE(ends.contains(attempt));
+        ends[attempt] = {outcome, answer != nullptr ? answer->body : "", cause};
+    }
+
+    void start(serving::attempt_handle attempt, bool repeatable = true,
+               int limit = 4)
+    {
+        pool.start({.attempt = attempt,
+                    .request = attempt,
+                    .to = to,
+                    .connection_limit = limit,
+                    .deadline = time.now() + 1s,
+                    .repeatable = repeatable},
+                   false);
+    }
+
+    void run(int ms)
+    {
+        for (int i = 0; i < ms; ++i)
+        {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds(1));
+            pool.sweep();
+        }
+    }
+
+    /// The next connection that the pool opens, if it does.
+    std::optional<raw_socket> accept(int most_ms = 200)
+    {
+        for (int i = 0; i < most_ms; ++i)
+        {
+            run(1);
+            asio::error_code failed;
+            asio::ip::tcp::socket socket(loop);
+            acceptor.accept(socket, failed);
+            if (!failed)
+            {
+                return raw_socket(std::move(socket));
+            }
+        }
+        return std::nullopt;
+    }
+
+    send_outcome outcome(serving::attempt_handle attempt)
+    {
+        for (int i = 0; i < 1000 && !ends.contains(attempt); ++i)
+        {
+            run(1);
+        }
+        REQUIRE(ends.contains(attempt));
+        return ends.at(attempt).outcome;
+    }
+
+    asio::io_context loop{1};
+    boot_clock time;
+    asio::ip::tcp::acceptor acceptor;
+    upstream_pool pool{loop, time, *this};
+    std::shared_ptr<serving::target> to = std::make_shared<serving::target>();
+    std::map<serving::attempt_handle, ended> ends;
+    bool wanted = true;
+    std::string extra;
+};
+
+std::string ok(std::string const& body, std::string const& headers = "")
+{
+    return "HTTP/1.1 200 OK\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// An attempt whose request has arrived at the target.
+raw_socket arrived(fixture& f, serving::attempt_handle attempt)
+{
+    f.start(attempt);
+    auto target = f.accept();
+    REQUIRE(target);
+    target->receive_until(f.loop, "\r\n\r\n");
+    return std::move(*target);
+}
+
+} // namespace
+
+TEST_CASE("a connection is kept and used again")
+{
+    fixture f;
+    auto target = arrived(f, 1);
+    target.send(ok("a"));
+    CHECK(f.outcome(1) == send_outcome::answered);
+    f.start(2);
+    target.receive_until(f.loop, "GET /2");
+    target.send(ok("b"));
+    CHECK(f.outcome(2) == send_outcome::answered);
+    CHECK(f.ends.at(2).body == "b");
+    CHECK(f.pool.figures().opened == 1);
+}
+
+TEST_CASE("an answer is taken in every division of its bytes")
+{
+    std::string const bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                              "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    for (std::size_t cut = 1; cut < bytes.size(); cut += 5)
+    {
+        fixture f;
+        auto target = arrived(f, 1);
+        target.send(bytes.substr(0, cut));
+        f.run(2);
+        target.send(bytes.substr(cut));
+        CHECK(f.outcome(1) == send_outcome::answered);
+        CHECK(f.ends.at(1).body == "abc");
+    }
+}
+
+TEST_CASE("bytes after an answer belong to no request and end the connection")
+{
+    fixture f;
+    auto target = arrived(f, 1);
+    SECTION("at once")
+    {
+        target.send(ok("a") + ok("b"));
+        CHECK(f.outcome(1) == send_outcome::answered);
+        CHECK(f.ends.at(1).body == "a");
+    }
+    SECTION("while the connection is idle")
+    {
+        target.send(ok("a"));
+        CHECK(f.outcome(1) == send_outcome::answered);
+        target.send(ok("b"));
+        f.run(20);
+    }
+    CHECK(f.pool.figures().open == 0);
+}
+
+TEST_CASE("a late extra answer is not taken for the next request's")
+{
+    fixture f;
+    auto target = arrived(f, 1);
+    target.send(ok("a", "X-Id: 1\r\n"));
+    CHECK(f.outcome(1) == send_outcome::answered);
+    f.start(2);
+    target.receive_until(f.loop, "GET /2");
+    target.send(ok("a again", "X-Id: 1\r\n"));
+    CHECK(f.outcome(2) == send_outcome::broken);
+    CHECK(f.pool.figures().open == 0);
+}
+
+TEST_CASE("what is not a whole answer may have run")
+{
+    fixture f;
+    auto target = arrived(f, 1);
+    SECTION("closed before an answer")
+    {
+        target.close();
+    }
+    SECTION("reset before an answer")
+    {
+        target.reset();
+    }
+    SECTION("closed within the head")
+    {
+        target.send("HTTP/1.1 200 O");
+        target.close();
+    }
+    SECTION("closed within the body")
+    {
+        target.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+        target.close();
+    }
+    SECTION("an answer without a length, reset")
+    {
+        target.send("HTTP/1.1 200 OK\r\n\r\nabc");
+        f.run(5);
+        target.reset();
+    }
+    SECTION("bytes that are no answer")
+    {
+        target.send("\x01\x02 garbage garbage\r\n\r\n");
+    }
+    CHECK(f.outcome(1) == send_outcome::broken);
+    CHECK(f.pool.figures().open == 0);
+}
+
+TEST_CASE("an answer without a length is whole when its connection ends")
+{
+    fixture f;
+    auto target = arrived(f, 1);
+    target.send("HTTP/1.1 200 OK\r\n\r\nabc");
+    target.close();
+    CHECK(f.outcome(1) == send_outcome::answered);
+    CHECK(f.ends.at(1).body == "abc");
+}
+
+TEST_CASE("an early answer leaves a connection that is not used again")
+{
+    fixture f;
+    f.extra = std::string(16'000'000, 'b');
+    f.start(1);
+    auto target = f.accept();
+    REQUIRE(target);
+    f.run(5);
+    target->send(ok("early"));
+    CHECK(f.outcome(1) == send_outcome::answered);
+    CHECK(f.pool.figures().open == 0);
+}
+
+TEST_CASE("interim answers are passed over")
+{
+    fixture f;
+    auto target = arrived(f, 1);
+    target.send("HTTP/1.1 102 Processing\r\n\r\n" + ok("a"));
+    CHECK(f.outcome(1) == send_outcome::answered);
+    CHECK(f.ends.at(1).body == "a");
+}
+
+TEST_CASE("no connection means not sent")
+{
+    fixture f;
+    f.acceptor.close();
+    f.start(1);
+    CHECK(f.outcome(1) == send_outcome::not_sent);
+}
+
+TEST_CASE("what is not wanted any more is not sent")
+{
+    fixture f;
+    f.wanted = false;
+    f.start(1);
+    CHECK(f.outcome(1) == send_outcome::not_sent);
+    CHECK(f.ends.at(1).cause.empty());
+    auto target = f.accept(5);
+    REQUIRE(target);
+    target->take();
+    CHECK(target->received().empty());
+}
+
+TEST_CASE("connections stay within their limit and sends wait for them")
+{
+    fixture f;
+    f.start(1, true, 1);
+    f.start(2, true, 1);
+    auto first = f.accept();
+    REQUIRE(first);
+    first->receive_until(f.loop, "GET /1");
+    CHECK_FALSE(f.accept(20));
+    first->send(ok("a"));
+    first->receive_until(f.loop, "GET /2");
+    first->send(ok("b"));
+    CHECK(f.outcome(2) == send_outcome::answered);
+    CHECK(f.pool.figures().opened == 1);
+}
+
+TEST_CASE("load pattern idle race: what must not be repeated goes out on a "
+          "fresh connection")
+{
+    fixture f;
+    auto target = arrived(f, 1);
+    target.send(ok("a", "Keep-Alive: timeout=1\r\n"));
+    CHECK(f.outcome(1) == send_outcome::answered);
+    f.run(400);
+    f.start(2, false);
+    auto second = f.accept();
+    REQUIRE(second);
+    second->receive_until(f.loop, "GET /2");
+    CHECK(second->received().find("GET /2") != std::string::npos);
+}
+
+TEST_CASE("an abandoned attempt ends once, and its connection with it")
+{
+    fixture f;
+    auto target = arrived(f, 1);
+    f.pool.abandon(1);
+    CHECK(f.ends.empty());
+    CHECK(f.outcome(1) == send_outcome::broken);
+    target.receive_until(f.loop, "never", 20);
+    CHECK(target.ended());
+}
+
+} // namespace kumquatramp::eventloop
