--- a/eventloop/include/eventloop/message_reader.hpp
+++ b/eventloop/include/eventloop/message_reader.hpp
@@ -27,9 +27,9 @@
 
     enum class progress
     {
-        idle,    ///< no byte of a message yet
-        head,    ///< within the start line or headers
-        body,    ///< within the body
+        idle, ///< no byte of a message yet
+        head, ///< within the start line or headers
+        body, ///< within the body
         complete,
         malformed,
         headers_too_large,
--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -57,8 +57,7 @@
 {
     auto& buffer = read_buffer();
     asio::error_code failed;
-    std::size_t const size =
-        socket_.read_some(asio::buffer(buffer), failed);
+    std::size_t const size = socket_.read_some(asio::buffer(buffer), failed);
     if (failed == asio::error::would_block)
     {
         wait_readable();
@@ -179,8 +178,7 @@
         return;
     }
     asio::error_code failed;
-    std::size_t const sent =
-        socket_.write_some(asio::buffer(bytes), failed);
+    std::size_t const sent = socket_.write_some(asio::buffer(bytes), failed);
     if (failed && failed != asio::error::would_block)
     {
         close();
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -43,7 +43,7 @@
     exchange_id exchange_ = 0;
     bool processing_ = false;
     bool writing_ = false;
-    bool waiting_ = false;   ///< a wait for bytes is open
+    bool waiting_ = false; ///< a wait for bytes is open
     bool close_after_ = false;
     bool lingering_ = false; ///< our side has ended; the rest is discarded
     bool closed_ = false;
--- a/eventloop/src/details/upstream_connection.cpp
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -39,9 +39,9 @@
 {
     order_ = std::move(order);
     has_order_ = true;
-    socket_.async_connect(to, [self = shared_from_this()](
-                                  asio::error_code const& failed)
-                          { self->on_connected(failed); });
+    socket_.async_connect(
+        to, [self = shared_from_this()](asio::error_code const& failed)
+        { self->on_connected(failed); });
 }
 
 void upstream_connection::on_connected(asio::error_code const& failed)
@@ -154,8 +154,7 @@
 {
     auto& buffer = read_buffer();
     asio::error_code failed;
-    std::size_t const size =
-        socket_.read_some(asio::buffer(buffer), failed);
+    std::size_t const size = socket_.read_some(asio::buffer(buffer), failed);
     if (failed == asio::error::would_block)
     {
         wait_readable();
@@ -225,7 +224,7 @@
     if (had_order)
     {
         pool_.finish(attempt, send_outcome::broken, nullptr,
-                     malformed   ? "malformed answer"
+                     malformed  ? "malformed answer"
                      : in_order ? "connection closed before the answer's end"
                                 : "connection reset");
     }
--- a/eventloop/src/http_caller.cpp
+++ b/eventloop/src/http_caller.cpp
@@ -168,8 +168,7 @@
     bool dead_ = false;
 };
 
-http_caller::http_caller(asio::io_context& loop,
-                         asio::ip::tcp::endpoint server)
+http_caller::http_caller(asio::io_context& loop, asio::ip::tcp::endpoint server)
     : loop_(loop)
     , server_(std::move(server))
 {
@@ -180,8 +179,7 @@
     reset();
 }
 
-void http_caller::get(std::string const& target, duration timeout,
-                      handler done)
+void http_caller::get(std::string const& target, duration timeout, handler done)
 {
     if (!session_ || session_->dead())
     {
--- a/eventloop/src/message_reader.cpp
+++ b/eventloop/src/message_reader.cpp
@@ -110,8 +110,8 @@
     {
         return 0;
     }
-    std::size_t const used = http_parser_execute(&parser_, &callbacks(),
-                                                 bytes.data(), bytes.size());
+    std::size_t const used =
+        http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
     if (state_ == progress::complete)
     {
         return used;
@@ -177,8 +177,7 @@
     return self(p)->count_head(length) ? 0 : 1;
 }
 
-int message_reader::on_field(http_parser* p, char const* at,
-                             std::size_t length)
+int message_reader::on_field(http_parser* p, char const* at, std::size_t length)
 {
     auto* r = self(p);
     if (r->in_value_ || r->message_.headers.empty())
@@ -190,8 +189,7 @@
     return r->count_head(length) ? 0 : 1;
 }
 
-int message_reader::on_value(http_parser* p, char const* at,
-                             std::size_t length)
+int message_reader::on_value(http_parser* p, char const* at, std::size_t length)
 {
     auto* r = self(p);
     r->in_value_ = true;
--- a/eventloop/src/upstream_pool.cpp
+++ b/eventloop/src/upstream_pool.cpp
@@ -141,16 +141,18 @@
         auto const keep = connection->shared_from_this();
         on_.erase(found);
         keep->close();
-        asio::post(loop_, [this, attempt]
-                   { client_.on_end(attempt, send_outcome::broken, nullptr,
-                                    "broken off"); });
+        asio::post(loop_,
+                   [this, attempt] {
+                       client_.on_end(attempt, send_outcome::broken, nullptr,
+                                      "broken off");
+                   });
         return;
     }
     for (auto const& [id, l] : lanes_)
     {
         auto const waiting = std::find_if(
-            l->waiting.begin(), l->waiting.end(), [&](order_state const& o)
-            { return o.order.attempt == attempt; });
+            l->waiting.begin(), l->waiting.end(),
+            [&](order_state const& o) { return o.order.attempt == attempt; });
         if (waiting != l->waiting.end())
         {
             l->waiting.erase(waiting);
@@ -174,9 +176,9 @@
                                  char const* cause)
 {
     on_.erase(attempt);
-    asio::post(loop_, [this, attempt, cause]
-               { client_.on_end(attempt, send_outcome::not_sent, nullptr,
-                                cause); });
+    asio::post(
+        loop_, [this, attempt, cause]
+        { client_.on_end(attempt, send_outcome::not_sent, nullptr, cause); });
 }
 
 void upstream_pool::forget(upstream_connection* connection)
@@ -184,8 +186,8 @@
     auto const found = lanes_.find(connection->lane());
     if (found != lanes_.end())
     {
-        std::erase_if(found->second->connections, [&](auto const& c)
-                      { return c.get() == connection; });
+        std::erase_if(found->second->connections,
+                      [&](auto const& c) { return c.get() == connection; });
     }
 }
 
--- a/eventloop/tests/message_reader_test.cpp
+++ b/eventloop/tests/message_reader_test.cpp
@@ -81,14 +81,11 @@
           progress::malformed);
     CHECK(read("POST / HTTP/1.1\r\nTransfer-Encoding: "
                "chunked\r\n\r\nzz\r\n") == progress::malformed);
-    CHECK(read("GET / HTTP/1.1\r\nBad Name: x\r\n\r\n") ==
-          progress::malformed);
+    CHECK(read("GET / HTTP/1.1\r\nBad Name: x\r\n\r\n") == progress::malformed);
     CHECK(read("GET / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n") ==
           progress::malformed);
-    CHECK(read("GET / HTTP/1.1\r\nX: a\x01\r\n\r\n") ==
-          progress::malformed);
-    CHECK(read("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n") !=
-          progress::head);
+    CHECK(read("GET / HTTP/1.1\r\nX: a\x01\r\n\r\n") == progress::malformed);
+    CHECK(read("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n") != progress::head);
     CHECK(read("\x16\x03\x01\x02") == progress::malformed);
 }
 
--- a/fleet/include/fleet/fleet_view.hpp
+++ b/fleet/include/fleet/fleet_view.hpp
@@ -33,8 +33,7 @@
 
     /// `seeds` are IPs of hosts to begin with; some may be down.
     fleet_view(peer_state self, std::vector<std::string> seeds,
-               random_source& random, serving::belief_log& log,
-               time_point now);
+               random_source& random, serving::belief_log& log, time_point now);
 
     void set_seeds(std::vector<std::string> seeds);
     void set_ready(bool ready);
--- a/fleet/src/fleet_view.cpp
+++ b/fleet/src/fleet_view.cpp
@@ -522,8 +522,7 @@
     for (auto& [zone, hosts] : zones)
     {
         std::sort(hosts.begin(), hosts.end(),
-                  [](peer_state const* a, peer_state const* b)
-                  {
+                  [](peer_state const* a, peer_state const* b) {
                       return a->weight != b->weight ? a->weight > b->weight
                                                     : a->ip < b->ip;
                   });
@@ -597,8 +596,8 @@
     auto& chosen = near.size() >= enough_in_zone ? near : all;
     while (chosen.size() > most_addresses)
     {
-        chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(
-                                          random_.below(chosen.size())));
+        chosen.erase(chosen.begin() +
+                     static_cast<std::ptrdiff_t>(random_.below(chosen.size())));
     }
     return std::move(chosen);
 }
@@ -612,18 +611,21 @@
     }
     int const serving =
         1 + static_cast<int>(std::count_if(
-                peers_.begin(), peers_.end(), [](auto const& entry)
-                { return entry.second.state.ready; }));
+                peers_.begin(), peers_.end(),
+                [](auto const& entry) { return entry.second.state.ready; }));
     return std::max(serving, std::min(known, least_divisor));
 }
 
 int fleet_view::rank(std::string_view key, time_point) const
 {
     std::uint64_t const own = rendezvous_weight(key, self_.ip);
-    return static_cast<int>(std::count_if(
-        peers_.begin(), peers_.end(), [&](auto const& entry)
-        { return entry.second.state.ready &&
-                 rendezvous_weight(key, entry.first) > own; }));
+    return static_cast<int>(
+        std::count_if(peers_.begin(), peers_.end(),
+                      [&](auto const& entry)
+                      {
+                          return entry.second.state.ready &&
+                                 rendezvous_weight(key, entry.first) > own;
+                      }));
 }
 
 int fleet_view::live_hosts() const
--- a/fleet/tests/fleet_world.cpp
+++ b/fleet/tests/fleet_world.cpp
@@ -109,9 +109,9 @@
 
 std::size_t fleet_world::serving() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(views_.begin(), views_.end(), [](auto const& v)
-                      { return v != nullptr && v->serves(); }));
+    return static_cast<std::size_t>(std::count_if(
+        views_.begin(), views_.end(),
+        [](auto const& v) { return v != nullptr && v->serves(); }));
 }
 
 } // namespace kumquatramp::fleet::testing
--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -103,8 +103,7 @@
     asio::steady_timer timer_;
     time_point armed_for_ = never;
     bool refusing_ = false;
-    std::unordered_map<serving::request_handle,
-                       std::unique_ptr<exchange_state>>
+    std::unordered_map<serving::request_handle, std::unique_ptr<exchange_state>>
         exchanges_;
     std::unordered_map<serving::attempt_handle, send_state> sends_;
     // The reply that the engine is looking at; null outside on_end.
--- a/host/include/host/platform_adapter.hpp
+++ b/host/include/host/platform_adapter.hpp
@@ -47,9 +47,8 @@
     directory_question(std::string_view method,
                        std::string_view target) const = 0;
 
-    virtual std::string
-    directory_answer(std::span<std::string const> addresses,
-                     int lifetime_s) const = 0;
+    virtual std::string directory_answer(std::span<std::string const> addresses,
+                                         int lifetime_s) const = 0;
 
     virtual bool is_readiness_question(std::string_view method,
                                        std::string_view target) const = 0;
--- a/host/src/endpoint.cpp
+++ b/host/src/endpoint.cpp
@@ -17,9 +17,9 @@
 {
     return fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\n"
                        "Content-Length: {}\r\n{}\r\n{}",
-                       status, http_status_str(static_cast<http_status>(status)),
-                       type, body.size(), keep ? "" : "Connection: close\r\n",
-                       body);
+                       status,
+                       http_status_str(static_cast<http_status>(status)), type,
+                       body.size(), keep ? "" : "Connection: close\r\n", body);
 }
 
 } // namespace
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -77,8 +77,7 @@
 front_service::front_service(asio::io_context& loop, clock const& time,
                              wire_profile const& wire,
                              serving::serving_options options,
-                             random_source& random,
-                             serving::target_book& book,
+                             random_source& random, serving::target_book& book,
                              serving::fleet_size const& fleet,
                              serving::warmup_share& warmup, host_log& log)
     : time_(time)
@@ -133,15 +132,16 @@
     std::string_view const host = message.header("Host");
     if (refusing_ || state->id.empty() || host.empty())
     {
-        auto const kind = refusing_ ? error_kind::leaving
-                                    : error_kind::malformed_request;
+        auto const kind =
+            refusing_ ? error_kind::leaving : error_kind::malformed_request;
         ++counters_.refused;
         log_.request(state->id, true,
                      refusing_ ? "refused: shutting down"
                                : "refused: no host or no request id");
         server_.respond(exchange,
-                        error_bytes(kind, refusing_ ? std::optional<duration>(100ms)
-                                                    : std::nullopt,
+                        error_bytes(kind,
+                                    refusing_ ? std::optional<duration>(100ms)
+                                              : std::nullopt,
                                     true),
                         true);
         return;
@@ -199,13 +199,13 @@
                                        bool close) const
 {
     error_answer const& row = answer_of(kind);
-    std::string const body = fmt::format(
-        R"({{"error":"{}","run":"{}","text":"{}"}})", row.code,
-        to_string(row.state), row.text);
-    std::string bytes = fmt::format(
-        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
-        "Content-Length: {}\r\n",
-        row.http_status, reason(row.http_status), body.size());
+    std::string const body =
+        fmt::format(R"({{"error":"{}","run":"{}","text":"{}"}})", row.code,
+                    to_string(row.state), row.text);
+    std::string bytes =
+        fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
+                    "Content-Length: {}\r\n",
+                    row.http_status, reason(row.http_status), body.size());
     if (retry_after)
     {
         fmt::format_to(std::back_inserter(bytes), "Retry-After: {:.3f}\r\n",
@@ -228,12 +228,11 @@
         return;
     }
     ++counters_.sends;
-    sends_.emplace(order.attempt,
-                   send_state{.request = order.request,
-                              .request_id = exchange->second->id,
-                              .instance = order.to->record.id,
-                              .deadline = order.deadline,
-                              .sent_at = time_.now()});
+    sends_.emplace(order.attempt, send_state{.request = order.request,
+                                             .request_id = exchange->second->id,
+                                             .instance = order.to->record.id,
+                                             .deadline = order.deadline,
+                                             .sent_at = time_.now()});
     pool_.start(order, has_no_body(exchange->second->method));
 }
 
@@ -279,9 +278,9 @@
            (id.empty() || id == send->second.request_id);
 }
 
-serving::target_reply
-front_service::read_reply(eventloop::send_outcome outcome,
-                          http_message* answer, char const* cause) const
+serving::target_reply front_service::read_reply(eventloop::send_outcome outcome,
+                                                http_message* answer,
+                                                char const* cause) const
 {
     serving::target_reply reply;
     reply.cause = cause;
@@ -331,8 +330,7 @@
     counters_.send_latency.add(now - send->second.sent_at);
     sends_.erase(send);
     serving::target_reply reply = read_reply(outcome, answer, cause);
-    counters_.sends_broken +=
-        reply.kind == serving::reply_kind::broken ? 1 : 0;
+    counters_.sends_broken += reply.kind == serving::reply_kind::broken ? 1 : 0;
     counters_.sends_refused +=
         reply.kind == serving::reply_kind::not_executed ? 1 : 0;
     present_answer_ = answer;
--- a/host/src/gossip_codec.cpp
+++ b/host/src/gossip_codec.cpp
@@ -25,9 +25,13 @@
     unsigned const flags = (s.ready ? ready_flag : 0) |
                            (s.leaving ? leaving_flag : 0) |
                            (s.busy ? busy_flag : 0);
-    return {s.ip,  s.zone,  s.incarnation,
-            s.version, static_cast<unsigned>(s.health),
-            flags, s.weight};
+    return {s.ip,
+            s.zone,
+            s.incarnation,
+            s.version,
+            static_cast<unsigned>(s.health),
+            flags,
+            s.weight};
 }
 
 } // namespace
@@ -75,11 +79,11 @@
                 return failure(error_kind::malformed_request,
                                "unknown health of a host");
             }
-            message.states.push_back(
-                {ip, zone, incarnation, state_version,
-                 static_cast<fleet::peer_health>(health),
-                 (flags & ready_flag) != 0, (flags & leaving_flag) != 0,
-                 (flags & busy_flag) != 0, weight});
+            message.states.push_back({ip, zone, incarnation, state_version,
+                                      static_cast<fleet::peer_health>(health),
+                                      (flags & ready_flag) != 0,
+                                      (flags & leaving_flag) != 0,
+                                      (flags & busy_flag) != 0, weight});
         }
     }
     catch (std::exception const& e)
--- a/host/src/host_log.cpp
+++ b/host/src/host_log.cpp
@@ -29,8 +29,9 @@
         else if (static_cast<unsigned char>(c) < 0x20 ||
                  static_cast<unsigned char>(c) >= 0x7f)
         {
-            fmt::format_to(std::back_inserter(quoted), "\\u{:04x}",
-                           static_cast<unsigned>(static_cast<unsigned char>(c)));
+            fmt::format_to(
+                std::back_inserter(quoted), "\\u{:04x}",
+                static_cast<unsigned>(static_cast<unsigned char>(c)));
         }
         else
         {
@@ -90,12 +91,10 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(
             time_.now().time_since_epoch())
             .count(),
-        host_, event, json_text(subject), json_text(detail),
-        sink_->dropped()));
+        host_, event, json_text(subject), json_text(detail), sink_->dropped()));
 }
 
-void host_log::request(std::string_view id, bool failed,
-                       std::string_view story)
+void host_log::request(std::string_view id, bool failed, std::string_view story)
 {
     note(failed ? "request.failed" : "request.degraded", id, story);
 }
--- a/host/src/host_settings.cpp
+++ b/host/src/host_settings.cpp
@@ -72,8 +72,8 @@
             return otherwise;
         }
         double parsed = 0;
-        auto const [end, error] = std::from_chars(
-            value.data(), value.data() + value.size(), parsed);
+        auto const [end, error] =
+            std::from_chars(value.data(), value.data() + value.size(), parsed);
         if (error != std::errc{} || end != value.data() + value.size() ||
             parsed < 0)
         {
@@ -86,8 +86,7 @@
     duration milliseconds(std::string const& key, duration otherwise)
     {
         double const ms = number(
-            key,
-            std::chrono::duration<double, std::milli>(otherwise).count());
+            key, std::chrono::duration<double, std::milli>(otherwise).count());
         return std::chrono::duration_cast<duration>(
             std::chrono::duration<double, std::milli>(ms));
     }
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -118,7 +118,8 @@
 private:
     void take(serving::catalogue_data data);
     void listen();
-    void every(asio::steady_timer& timer, duration pause, void (details::*step)());
+    void every(asio::steady_timer& timer, duration pause,
+               void (details::*step)());
     void sweep();
     void follow_store();
     void gossip();
@@ -167,10 +168,10 @@
     std::set<std::string> listed_zones_;
     bool listing_ = false;
 
-    bool serving_ = false;          ///< takes clients; otherwise stands by
-    time_point last_needed_{};      ///< when it last belonged to the set
+    bool serving_ = false;     ///< takes clients; otherwise stands by
+    time_point last_needed_{}; ///< when it last belonged to the set
     time_point last_sweep_{};
-    double lateness_ms_ = 0;        ///< of the sweep's timer, smoothed
+    double lateness_ms_ = 0; ///< of the sweep's timer, smoothed
 
     duration suspended_ = eventloop::boot_clock::suspended();
     std::optional<time_point> leaving_since_;
@@ -193,13 +194,16 @@
     , book_(settings_.zone, scaled(settings_.drain_bound, unlisted_share),
             random_, log_)
     , warmup_(settings_.ip)
-    , front_(loop_, time_, adapter.wire(), options_of(settings_, started_), random_,
-             book_, fleet_, warmup_, log_)
-    , readiness_(loop_, time_, [this](auto method, auto target)
+    , front_(loop_, time_, adapter.wire(), options_of(settings_, started_),
+             random_, book_, fleet_, warmup_, log_)
+    , readiness_(loop_, time_,
+                 [this](auto method, auto target)
                  { return answer_readiness(method, target); })
-    , directory_(loop_, time_, [this](auto method, auto target)
+    , directory_(loop_, time_,
+                 [this](auto method, auto target)
                  { return answer_directory(method, target); })
-    , control_(loop_, time_, [this](auto method, auto target)
+    , control_(loop_, time_,
+               [this](auto method, auto target)
                { return answer_control(method, target); })
     , store_(adapter.connect_store(
           loop_, settings_.store,
@@ -241,8 +245,8 @@
     }
     asio::ip::udp::endpoint const own(asio::ip::make_address(settings_.ip),
                                       settings_.gossip_port);
-    port_.emplace(loop_, own, [this](auto sender, auto bytes)
-                  { hear(sender, bytes); });
+    port_.emplace(loop_, own,
+                  [this](auto sender, auto bytes) { hear(sender, bytes); });
 }
 
 int query_host::details::run()
@@ -336,10 +340,9 @@
 {
     if (last_sweep_ != time_point{})
     {
-        double const late_ms =
-            std::chrono::duration<double, std::milli>(now - last_sweep_ -
-                                                      sweep_every)
-                .count();
+        double const late_ms = std::chrono::duration<double, std::milli>(
+                                   now - last_sweep_ - sweep_every)
+                                   .count();
         lateness_ms_ += lateness_gain * (late_ms - lateness_ms_);
     }
     last_sweep_ = now;
@@ -548,9 +551,8 @@
     log_.note("settings.reloaded", path_, why);
 }
 
-endpoint_answer
-query_host::details::answer_readiness(std::string_view method,
-                                      std::string_view target)
+endpoint_answer query_host::details::answer_readiness(std::string_view method,
+                                                      std::string_view target)
 {
     if (!adapter_.is_readiness_question(method, target))
     {
@@ -559,9 +561,8 @@
     return {.status = ready() ? 200 : 503, .body = "{}"};
 }
 
-endpoint_answer
-query_host::details::answer_directory(std::string_view method,
-                                      std::string_view target)
+endpoint_answer query_host::details::answer_directory(std::string_view method,
+                                                      std::string_view target)
 {
     auto const zone = adapter_.directory_question(method, target);
     if (!zone)
@@ -578,9 +579,8 @@
     {
         return {.status = 503, .body = R"({"error":"no host is ready"})"};
     }
-    auto const lifetime =
-        std::chrono::duration_cast<std::chrono::seconds>(std::min<duration>(
-            settings_.directory_ttl, directory_lifetime));
+    auto const lifetime = std::chrono::duration_cast<std::chrono::seconds>(
+        std::min<duration>(settings_.directory_ttl, directory_lifetime));
     return {.status = 200,
             .body = adapter_.directory_answer(
                 addresses, static_cast<int>(lifetime.count()))};
@@ -631,15 +631,14 @@
     print_metric(text, "targets_usable",
                  static_cast<double>(book_.usable_count()));
     print_metric(text, "live_hosts", fleet_.live_hosts());
-    print_metric(text, "configuration_version",
-                 catalogue == nullptr
-                     ? 0.0
-                     : static_cast<double>(catalogue->version()));
+    print_metric(
+        text, "configuration_version",
+        catalogue == nullptr ? 0.0 : static_cast<double>(catalogue->version()));
     print_metric(text, "store_calls_total",
                  static_cast<double>(follower_.calls()));
-    print_metric(text, "store_contact_age_seconds",
-                 std::chrono::duration<double>(now - follower_.last_contact())
-                     .count());
+    print_metric(
+        text, "store_contact_age_seconds",
+        std::chrono::duration<double>(now - follower_.last_contact()).count());
     print_metric(text, "log_lines_dropped_total",
                  static_cast<double>(log_.dropped()));
     return text;
--- a/host/src/service_counters.cpp
+++ b/host/src/service_counters.cpp
@@ -32,9 +32,9 @@
     for (std::size_t i = 0; i < counts_.size(); ++i)
     {
         total += counts_[i];
-        std::string const bound =
-            i < bounds_ms.size() ? fmt::format("{}", bounds_ms[i] / 1000.0)
-                                 : "+Inf";
+        std::string const bound = i < bounds_ms.size()
+                                      ? fmt::format("{}", bounds_ms[i] / 1000.0)
+                                      : "+Inf";
         fmt::format_to(out, "kumquatramp_{}_bucket{{le=\"{}\"}} {}\n", name,
                        bound, total);
     }
--- a/registry/include/registry/store_follower.hpp
+++ b/registry/include/registry/store_follower.hpp
@@ -33,9 +33,8 @@
 class store_follower
 {
 public:
-    store_follower(follower_options options, store_port& port,
-                   store_sink& sink, random_source& random,
-                   serving::belief_log& log);
+    store_follower(follower_options options, store_port& port, store_sink& sink,
+                   random_source& random, serving::belief_log& log);
 
     void tick(time_point now);
     time_point next_due() const { return next_call_; }
@@ -66,10 +65,10 @@
     serving::belief_log& log_;
 
     bool listing_ = true;
-    bool open_ = false;         ///< a call is on its way
+    bool open_ = false; ///< a call is on its way
     bool paused_ = false;
-    bool synchronized_ = false; ///< one listing has been whole
-    std::string after_;         ///< listing: the last key
+    bool synchronized_ = false;  ///< one listing has been whole
+    std::string after_;          ///< listing: the last key
     std::uint64_t revision_ = 0; ///< changes up to it are known
     int failures_ = 0;           ///< in a row
     std::uint64_t calls_ = 0;
--- a/registry/tests/store_follower_test.cpp
+++ b/registry/tests/store_follower_test.cpp
@@ -166,7 +166,8 @@
     f.follower.tick(f.now);
     f.follower.on_failure(store_failure::unavailable, "", f.now);
     f.advance(1s);
-    CHECK(f.port.calls == std::vector<std::string>{"list ", "list a", "list a"});
+    CHECK(f.port.calls ==
+          std::vector<std::string>{"list ", "list a", "list a"});
 }
 
 TEST_CASE("a host that stands by calls nothing and begins anew")
--- a/serving/include/serving/target_book.hpp
+++ b/serving/include/serving/target_book.hpp
@@ -59,9 +59,10 @@
 
     /// Like choose, for a second send while the first goes on: only targets
     /// that are expected to answer promptly.
-    std::shared_ptr<target>
-    choose_prompt(std::string_view service, duration usual,
-                  std::span<target const* const> tried, time_point now);
+    std::shared_ptr<target> choose_prompt(std::string_view service,
+                                          duration usual,
+                                          std::span<target const* const> tried,
+                                          time_point now);
 
     /// Whether a request may be sent to this target at this moment.
     bool may_send(target const& t) const;
--- a/serving/include/serving/target_reply.hpp
+++ b/serving/include/serving/target_reply.hpp
@@ -21,8 +21,8 @@
 {
     reply_kind kind = reply_kind::broken;
     int status = 0;
-    bool stamped = false;    ///< bears the target's signature
-    bool leaving = false;    ///< the target closes its connections
+    bool stamped = false;     ///< bears the target's signature
+    bool leaving = false;     ///< the target closes its connections
     bool misdirected = false; ///< another instance is at the address
     std::string stamp;
     std::string body;
--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -22,10 +22,9 @@
 
 } // namespace
 
-request_engine::details::details(serving_options options,
-                                 random_source& random, target_book& book,
-                                 fleet_size const& fleet, warmup_share& warmup,
-                                 engine_port& port)
+request_engine::details::details(serving_options options, random_source& random,
+                                 target_book& book, fleet_size const& fleet,
+                                 warmup_share& warmup, engine_port& port)
     : options_(options)
     , random_(random)
     , book_(book)
@@ -37,8 +36,7 @@
 
 route_statistics& request_engine::details::statistics(route const& on)
 {
-    return statistics_.try_emplace(on.name, on.latency_objective)
-        .first->second;
+    return statistics_.try_emplace(on.name, on.latency_objective).first->second;
 }
 
 retry_budget& request_engine::details::budget(std::string_view service)
@@ -61,8 +59,8 @@
     {
         bool const unready =
             error == error_kind::not_ready || error == error_kind::no_target;
-        duration const base = unready ? options_.unready_retry_after
-                                      : options_.busy_retry_after;
+        duration const base =
+            unready ? options_.unready_retry_after : options_.busy_retry_after;
         // Spread, so that refused clients do not all return at once.
         refusal.retry_after = std::chrono::duration_cast<duration>(
             base * (0.75 + 0.5 * random_.unit()));
@@ -134,9 +132,9 @@
         spent = statistics(on).spent_before(request.time_left);
     }
     r.deadline = now + wait;
-    r.settle_at = now + std::max(on.latency_objective - spent -
-                                     options_.answer_margin,
-                                 on.latency_objective / 4);
+    r.settle_at =
+        now + std::max(on.latency_objective - spent - options_.answer_margin,
+                       on.latency_objective / 4);
     if (on.scatters())
     {
         for (auto const& service : on.shards)
@@ -161,12 +159,12 @@
         return;
     }
     auto& running = requests_.emplace(r.handle, std::move(r)).first->second;
-    timers_.push({running.deadline, timer_kind::request_expires,
-                  running.handle});
+    timers_.push(
+        {running.deadline, timer_kind::request_expires, running.handle});
     if (on.scatters() && running.settle_at < running.deadline)
     {
-        timers_.push({running.settle_at, timer_kind::request_settles,
-                      running.handle});
+        timers_.push(
+            {running.settle_at, timer_kind::request_settles, running.handle});
     }
     for (std::size_t i = 0; i < running.shards.size(); ++i)
     {
@@ -210,8 +208,7 @@
         fail(r, error_kind::target_failed, now);
         return;
     }
-    if (r.on->scatters() && in >= need &&
-        (waiting == 0 || now >= r.settle_at))
+    if (r.on->scatters() && in >= need && (waiting == 0 || now >= r.settle_at))
     {
         answer_merged(r, now);
     }
@@ -255,10 +252,11 @@
                                             shard_progress& s, time_point now)
 {
     auto const& last = s.tries;
-    bool const refused =
-        std::any_of(last.begin(), last.end(), [&](target_try const& t)
-                    { return t.state == try_state::refused &&
-                             book_.may_send(*t.to); });
+    bool const refused = std::any_of(last.begin(), last.end(),
+                                     [&](target_try const& t) {
+                                         return t.state == try_state::refused &&
+                                                book_.may_send(*t.to);
+                                     });
     // A target that has no room now may have some after a service time.
     duration const pause = std::chrono::duration_cast<duration>(
         statistics(*r.on).latency.usual() * (1.0 + random_.unit()));
@@ -301,10 +299,9 @@
 void request_engine::details::fail(running_request& r, error_kind error,
                                    time_point now)
 {
-    bool const certain =
-        !r.may_have_run() && r.outstanding == 0 &&
-        (error == error_kind::target_failed ||
-         error == error_kind::target_timeout);
+    bool const certain = !r.may_have_run() && r.outstanding == 0 &&
+                         (error == error_kind::target_failed ||
+                          error == error_kind::target_timeout);
     if (certain)
     {
         error = error_kind::overloaded;
@@ -317,9 +314,9 @@
                                      std::string_view outcome, time_point now)
 {
     r.finished = true;
-    bool const partial = r.on->scatters() &&
-                         r.count(shard_state::answered) <
-                             static_cast<int>(r.shards.size());
+    bool const partial =
+        r.on->scatters() &&
+        r.count(shard_state::answered) < static_cast<int>(r.shards.size());
     bool const late = now - r.arrived > r.on->latency_objective;
     if (failed || partial || late)
     {
@@ -362,7 +359,7 @@
                                                  : " waiting";
         for (auto const& t : s.tries)
         {
-            text += t.state == try_state::refused   ? " refused-by "
+            text += t.state == try_state::refused  ? " refused-by "
                     : t.state == try_state::unsent ? " unsent-to "
                                                    : " sent-to ";
             text += t.to->record.id;
@@ -449,8 +446,7 @@
     }
 }
 
-void request_engine::details::on_expired(request_handle request,
-                                         time_point now)
+void request_engine::details::on_expired(request_handle request, time_point now)
 {
     auto const found = requests_.find(request);
     if (found == requests_.end() || found->second.finished)
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -48,8 +48,7 @@
         return true;
     }
     return warmup_.spend(t.record.id, service->warmup_rate,
-                         fleet_.rank(t.record.id, now), fleet_.hosts(now),
-                         now);
+                         fleet_.rank(t.record.id, now), fleet_.hosts(now), now);
 }
 
 std::shared_ptr<target>
@@ -84,9 +83,10 @@
            !book_.admits(t);
 }
 
-std::shared_ptr<target>
-request_engine::details::choose(running_request& r, shard_progress& s,
-                                bool prompt_only, time_point now)
+std::shared_ptr<target> request_engine::details::choose(running_request& r,
+                                                        shard_progress& s,
+                                                        bool prompt_only,
+                                                        time_point now)
 {
     if (s.targets_used() >= r.on->max_attempts)
     {
@@ -168,8 +168,7 @@
                                           .deadline = r.deadline});
     timers_.push({now + statistics(*r.on).latency.overdue_after(),
                   timer_kind::attempt_overdue, id});
-    timers_.push(
-        {r.deadline + expiry_slack, timer_kind::attempt_expired, id});
+    timers_.push({r.deadline + expiry_slack, timer_kind::attempt_expired, id});
     port_.start_attempt({.attempt = id,
                          .request = r.handle,
                          .to = to,
@@ -274,8 +273,7 @@
     release(a.request);
 }
 
-void request_engine::details::take_reply(running_request& r,
-                                         shard_progress& s,
+void request_engine::details::take_reply(running_request& r, shard_progress& s,
                                          attempt_handle attempt,
                                          target_reply& reply, time_point now)
 {
@@ -312,8 +310,8 @@
     {
         return false;
     }
-    s.now = is_success(reply.status) ? shard_state::answered
-                                     : shard_state::lost;
+    s.now =
+        is_success(reply.status) ? shard_state::answered : shard_state::lost;
     client_answer relayed;
     relayed.what = client_answer::form::relayed;
     relayed.attempt = attempt;
@@ -362,8 +360,7 @@
     settle(r, now);
 }
 
-void request_engine::details::on_overdue(attempt_handle attempt,
-                                         time_point now)
+void request_engine::details::on_overdue(attempt_handle attempt, time_point now)
 {
     auto const found = attempts_.find(attempt);
     if (found == attempts_.end())
--- a/serving/src/details/running_request.hpp
+++ b/serving/src/details/running_request.hpp
@@ -55,9 +55,9 @@
     /// Targets that the request was handed to.
     int targets_used() const
     {
-        return static_cast<int>(
-            std::count_if(tries.begin(), tries.end(), [](target_try const& t)
-                          { return t.state != try_state::unsent; }));
+        return static_cast<int>(std::count_if(
+            tries.begin(), tries.end(),
+            [](target_try const& t) { return t.state != try_state::unsent; }));
     }
 };
 
@@ -75,10 +75,9 @@
 
     int count(shard_progress::state state) const
     {
-        return static_cast<int>(
-            std::count_if(shards.begin(), shards.end(),
-                          [=](shard_progress const& s)
-                          { return s.now == state; }));
+        return static_cast<int>(std::count_if(shards.begin(), shards.end(),
+                                              [=](shard_progress const& s)
+                                              { return s.now == state; }));
     }
 
     bool may_have_run() const
--- a/serving/src/latency_estimate.cpp
+++ b/serving/src/latency_estimate.cpp
@@ -47,8 +47,7 @@
 void latency_estimate::add(duration sample)
 {
     double const ms = std::min(to_ms(sample), mean_ms_ * clip);
-    double const weight =
-        samples_ < warm_samples ? 1.0 / (samples_ + 4) : gain;
+    double const weight = samples_ < warm_samples ? 1.0 / (samples_ + 4) : gain;
     ++samples_;
     deviation_ms_ += weight * (std::abs(ms - mean_ms_) - deviation_ms_);
     mean_ms_ += weight * (ms - mean_ms_);
@@ -63,9 +62,9 @@
 duration latency_estimate::overdue_after() const
 {
     double const ms = mean_ms_ + overdue_deviations * deviation_ms_;
-    return from_ms(std::clamp(ms, mean_ms_ * overdue_least,
-                              mean_ms_ * overdue_most) +
-                   1.0);
+    return from_ms(
+        std::clamp(ms, mean_ms_ * overdue_least, mean_ms_ * overdue_most) +
+        1.0);
 }
 
 } // namespace kumquatramp::serving
--- a/serving/src/target_book.cpp
+++ b/serving/src/target_book.cpp
@@ -181,8 +181,7 @@
     }
 }
 
-void target_book::drop(std::shared_ptr<target> const& t,
-                       std::string_view cause)
+void target_book::drop(std::shared_ptr<target> const& t, std::string_view cause)
 {
     t->listed = listing::gone;
     auto& replicas = by_service_[t->record.service];
@@ -222,14 +221,14 @@
 double target_book::expected_ms(target const& t, double usual_ms,
                                 time_point now)
 {
-    double const slowness = decayed(t.slowness, 1.0, t.slowness_at, now,
-                                    slowness_half_life_ms);
+    double const slowness =
+        decayed(t.slowness, 1.0, t.slowness_at, now, slowness_half_life_ms);
     double busy = t.in_flight;
     double const report_age = to_ms(now - t.reported_at);
     if (report_age < report_fresh_ms)
     {
-        busy = std::max(busy, t.reported_busy *
-                                  (1.0 - report_age / report_fresh_ms));
+        busy = std::max(busy,
+                        t.reported_busy * (1.0 - report_age / report_fresh_ms));
     }
     int const slots = std::max(t.record.slots, 1);
     double const waiting = std::max(0.0, busy + 1 - slots) / slots;
@@ -240,8 +239,8 @@
     {
         ms *= 1.6;
     }
-    double const failing = decayed(t.failure_share, 0.0, t.failure_at, now,
-                                   failure_half_life_ms);
+    double const failing =
+        decayed(t.failure_share, 0.0, t.failure_at, now, failure_half_life_ms);
     ms += failing * (usual_ms * 4.0 + 20.0);
     if (t.record.zone != own_zone_)
     {
@@ -263,10 +262,10 @@
     return ms * (1.0 + 0.1 * random_.unit());
 }
 
-std::shared_ptr<target>
-target_book::pick(std::string_view service, duration usual,
-                  std::span<target const* const> tried, bool prompt_only,
-                  time_point now)
+std::shared_ptr<target> target_book::pick(std::string_view service,
+                                          duration usual,
+                                          std::span<target const* const> tried,
+                                          bool prompt_only, time_point now)
 {
     auto const found = by_service_.find(service);
     if (found == by_service_.end())
@@ -282,9 +281,9 @@
         {
             continue;
         }
-        if (prompt_only && (t->overdue > 0 || now < t->avoid_until ||
-                            t->listed == listing::unlisted ||
-                            t->admitted_share < roomy_share))
+        if (prompt_only &&
+            (t->overdue > 0 || now < t->avoid_until ||
+             t->listed == listing::unlisted || t->admitted_share < roomy_share))
         {
             continue;
         }
@@ -307,8 +306,7 @@
 
 std::shared_ptr<target>
 target_book::choose_prompt(std::string_view service, duration usual,
-                           std::span<target const* const> tried,
-                           time_point now)
+                           std::span<target const* const> tried, time_point now)
 {
     return pick(service, usual, tried, true, now);
 }
@@ -316,14 +314,14 @@
 void target_book::count_success(target& t, duration latency, duration usual,
                                 time_point now)
 {
-    double const sample = std::min(
-        slowness_clip, to_ms(latency) / std::max(to_ms(usual), 0.1));
-    double const present = decayed(t.slowness, 1.0, t.slowness_at, now,
-                                   slowness_half_life_ms);
+    double const sample =
+        std::min(slowness_clip, to_ms(latency) / std::max(to_ms(usual), 0.1));
+    double const present =
+        decayed(t.slowness, 1.0, t.slowness_at, now, slowness_half_life_ms);
     t.slowness = present + slowness_gain * (sample - present);
     t.slowness_at = now;
-    double const failing = decayed(t.failure_share, 0.0, t.failure_at, now,
-                                   failure_half_life_ms);
+    double const failing =
+        decayed(t.failure_share, 0.0, t.failure_at, now, failure_half_life_ms);
     t.failure_share = failing * (1.0 - failure_gain);
     t.failure_at = now;
     if (t.failures_in_row > tolerated_failures)
@@ -336,8 +334,8 @@
 
 void target_book::count_failure(target& t, time_point now)
 {
-    double const failing = decayed(t.failure_share, 0.0, t.failure_at, now,
-                                   failure_half_life_ms);
+    double const failing =
+        decayed(t.failure_share, 0.0, t.failure_at, now, failure_half_life_ms);
     t.failure_share = failing + failure_gain * (1.0 - failing);
     t.failure_at = now;
     ++t.failures_in_row;
@@ -350,9 +348,8 @@
         log_.note("target.failing", t.record.id, t.record.service);
     }
     int const doublings = std::min(t.failures_in_row - tolerated_failures, 6);
-    duration const pause =
-        std::min<duration>(first_avoidance * (1 << doublings),
-                           longest_avoidance);
+    duration const pause = std::min<duration>(
+        first_avoidance * (1 << doublings), longest_avoidance);
     t.avoid_until = now + pause;
 }
 
@@ -372,8 +369,7 @@
     }
     else if (wait_ms < to_ms(objective) * full_wait_share / 2)
     {
-        t.admitted_share =
-            std::min(1.0, t.admitted_share + admitted_increase);
+        t.admitted_share = std::min(1.0, t.admitted_share + admitted_increase);
     }
     if (was_full != (t.admitted_share < 1.0))
     {
@@ -412,9 +408,9 @@
 
 std::size_t target_book::usable_count() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(by_id_.begin(), by_id_.end(),
-                      [&](auto const& entry) { return may_send(*entry.second); }));
+    return static_cast<std::size_t>(std::count_if(
+        by_id_.begin(), by_id_.end(),
+        [&](auto const& entry) { return may_send(*entry.second); }));
 }
 
 } // namespace kumquatramp::serving
--- a/serving/tests/engine_world.cpp
+++ b/serving/tests/engine_world.cpp
@@ -23,8 +23,7 @@
 }
 
 void engine_world::add_targets(std::string const& service,
-                               std::vector<std::string> const& zones,
-                               int slots)
+                               std::vector<std::string> const& zones, int slots)
 {
     for (auto const& zone : zones)
     {
@@ -116,8 +115,7 @@
     engine.on_reply(attempt, r, now);
 }
 
-void engine_world::reply(std::string const& target, reply_kind kind,
-                         int status)
+void engine_world::reply(std::string const& target, reply_kind kind, int status)
 {
     attempt_handle const attempt = newest_at(target);
     open_.erase(attempt);
@@ -148,7 +146,8 @@
 
 bool engine_world::open_at(std::string const& target) const
 {
-    return std::any_of(open_.begin(), open_.end(), [&](auto const& entry)
+    return std::any_of(open_.begin(), open_.end(),
+                       [&](auto const& entry)
                        { return entry.second.to->record.id == target; });
 }
 
--- a/serving/tests/request_engine_test.cpp
+++ b/serving/tests/request_engine_test.cpp
@@ -348,8 +348,7 @@
             // Another shard cannot be served: now the full one is needed.
             world.reply("s5-zone-a", reply_kind::broken);
             auto const open_b = world.open_at("s5-zone-b");
-            world.reply(open_b ? "s5-zone-b" : "s5-zone-c",
-                        reply_kind::broken);
+            world.reply(open_b ? "s5-zone-b" : "s5-zone-c", reply_kind::broken);
             CHECK(world.sends_to("s3-zone-a") == 1);
         }
         world.advance(20ms);
--- a/serving/tests/retry_budget_test.cpp
+++ b/serving/tests/retry_budget_test.cpp
@@ -28,12 +28,11 @@
     {
         for (time_point const from : extras)
         {
-            auto const within = [&](std::deque<time_point> const& times,
-                                    duration shift)
+            auto const within =
+                [&](std::deque<time_point> const& times, duration shift)
             {
                 return std::count_if(times.begin(), times.end(),
-                                     [&](time_point t)
-                                     {
+                                     [&](time_point t) {
                                          return t >= from - shift &&
                                                 t < from - shift + window;
                                      });
