--- a/build.sh
+++ b/build.sh
@@ -16,7 +16,7 @@
     libasio-dev libjsonrpccpp-dev libjsoncpp-dev libcpp-httplib-dev
     libgflags-dev libspdlog-dev libboost-dev catch2 libtrompeloeil-cpp-dev
     libinih-dev libbenchmark-dev libxxhash-dev libssl-dev libcurl4-openssl-dev
-    curl
+    libhttp-parser-dev libmsgpack-cxx-dev curl
 )
 
 setup() {
@@ -43,7 +43,18 @@
     git ls-files --cached --others --exclude-standard "$@"
 }
 
+# The platform's names stand in platform/ and deploy/ alone.
+check_platform_names() {
+    local names='X-Kumquatramp|op/config|op/evacuate|kv-watch|kv-range|kv-key'
+    names+='|KUMQUATRAMP_CONFIG|/readyz|CurrentRev|TrafficSplit|WarmupLeftMs'
+    if git grep -n -E "$names" -- '*.cpp' '*.hpp' ':!platform/'; then
+        echo "names of the platform outside platform/"
+        exit 1
+    fi
+}
+
 check() {
+    check_platform_names
     sources '*.hpp' '*.cpp' | xargs clang-format --dry-run -Werror
     cmake -S . -B out/build -G Ninja >out/configure.log
     sources '*.cpp' |
@@ -76,7 +87,7 @@
     setup
     build
     print_known_red
-    ctest --test-dir out/build --output-on-failure -LE 'bench|known_red'
+    ctest --test-dir out/build --output-on-failure -j 4 -LE 'bench|known_red'
     ;;
 bench)
     setup
--- a/eventloop/tests/upstream_pool_test.cpp
+++ b/eventloop/tests/upstream_pool_test.cpp
@@ -243,7 +243,7 @@
 TEST_CASE("an early answer leaves a connection that is not used again")
 {
     fixture f;
-    f.extra = std::string(16'000'000, 'b');
+    f.extra.resize(16'000'000, 'b');
     f.start(1);
     auto target = f.accept();
     REQUIRE(target);
--- a/fleet/src/fleet_view.cpp
+++ b/fleet/src/fleet_view.cpp
@@ -266,6 +266,7 @@
         }
     }
     std::vector<std::string> chosen;
+    chosen.reserve(zones.size());
     for (auto const& [zone, ips] : zones)
     {
         chosen.push_back(pick(ips));
--- a/host/src/bounded_sink.cpp
+++ b/host/src/bounded_sink.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Lines that wait for standard output: some seconds of a busy host.
-constexpr std::size_t buffer_bytes = 256 * 1024;
+constexpr std::size_t buffer_bytes = 256UL * 1024;
 /// A pipe that reports room takes at least this much without blocking.
 constexpr std::size_t atomic_bytes = 4096;
 
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -76,6 +76,7 @@
 std::vector<std::string> ips_of(std::vector<std::string> const& addresses)
 {
     std::vector<std::string> ips;
+    ips.reserve(addresses.size());
     for (auto const& a : addresses)
     {
         ips.push_back(ip_of(a));
--- a/serving/include/serving/target_book.hpp
+++ b/serving/include/serving/target_book.hpp
@@ -43,10 +43,10 @@
     void retain(std::set<std::string, std::less<>> const& listed,
                 time_point now);
 
-    void evacuate(std::string zone, time_point now);
+    void evacuate(std::string const& zone, time_point now);
     void end_evacuation(std::string const& zone, time_point now);
     /// The zones that are evacuated now; all others are not.
-    void set_evacuated(std::set<std::string> zones, time_point now);
+    void set_evacuated(std::set<std::string> const& zones, time_point now);
 
     /// Moves unlisted targets to gone when their hold has passed.
     void tick(time_point now);
--- a/serving/src/target_book.cpp
+++ b/serving/src/target_book.cpp
@@ -149,7 +149,7 @@
     }
 }
 
-void target_book::evacuate(std::string zone, time_point)
+void target_book::evacuate(std::string const& zone, time_point)
 {
     if (evacuated_.insert(zone).second)
     {
@@ -165,7 +165,7 @@
     }
 }
 
-void target_book::set_evacuated(std::set<std::string> zones, time_point now)
+void target_book::set_evacuated(std::set<std::string> const& zones, time_point now)
 {
     auto const before = evacuated_;
     for (auto const& zone : before)
--- a/serving/tests/catalogue_and_merge_test.cpp
+++ b/serving/tests/catalogue_and_merge_test.cpp
@@ -23,6 +23,7 @@
 std::string merged(std::vector<std::string> const& parts, std::size_t count)
 {
     std::vector<std::string const*> pointers;
+    pointers.reserve(parts.size());
     for (auto const& p : parts)
     {
         pointers.push_back(&p);
--- a/serving/tests/engine_world.cpp
+++ b/serving/tests/engine_world.cpp
@@ -28,7 +28,8 @@
     for (auto const& zone : zones)
     {
         target_record record;
-        record.id = service + "-" + zone;
+        record.id = service;
+        record.id.append("-").append(zone);
         record.service = service;
         record.address = "10.0.0.1:80";
         record.zone = zone;
--- a/serving/tests/request_engine_test.cpp
+++ b/serving/tests/request_engine_test.cpp
@@ -17,6 +17,7 @@
 std::vector<std::string> shard_names(int count)
 {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
     {
         names.push_back("s" + std::to_string(i));
--- a/serving/tests/retry_budget_test.cpp
+++ b/serving/tests/retry_budget_test.cpp
@@ -138,6 +138,7 @@
     {
         constexpr int hosts = 137;
         std::vector<warmup_share> all;
+        all.reserve(hosts);
         for (int i = 0; i < hosts; ++i)
         {
             all.emplace_back("host-" + std::to_string(i));
