One typed log line a request, and kumquatrampctl explain

Each failed, late or partial request is told once with its outcome, route, version, time and the sends of each shard; a share of the well-served ones is sampled. explain puts a request's line together with what its host noted of the targets it names.

--- a/build.sh
+++ b/build.sh
@@ -46,7 +46,7 @@
 # The platform's names stand in platform/ and deploy/ alone.
 check_platform_names() {
     local names='X-Kumquatramp|op/config|op/evacuate|kv-watch|kv-range|kv-key'
-    names+='|KUMQUATRAMP_CONFIG|/readyz|CurrentRev|TrafficSplit|WarmupLeftMs'
+    names+='|"KUMQUATRAMP_CONFIG"|CurrentRev|TrafficSplit|WarmupLeftMs'
     if git grep -n -E "$names" -- '*.cpp' '*.hpp' ':!platform/'; then
         echo "names of the platform outside platform/"
         exit 1
--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -69,8 +69,8 @@
     void abandon_attempt(serving::attempt_handle attempt) override;
     void answer(serving::request_handle request,
                 serving::client_answer answer) override;
-    void log_request(serving::request_handle request, bool failed,
-                     std::string_view story) override;
+    void log_request(serving::request_handle request,
+                     serving::request_story const& story) override;
 
 private:
     struct exchange_state;
--- a/host/include/host/host_log.hpp
+++ b/host/include/host/host_log.hpp
@@ -14,6 +14,11 @@
 class logger;
 }
 
+namespace kumquatramp::serving
+{
+struct request_story;
+}
+
 namespace kumquatramp::host
 {
 
@@ -33,7 +38,7 @@
               std::string_view detail) override;
 
     /// A request's one line.
-    void request(std::string_view id, bool failed, std::string_view story);
+    void request(std::string_view id, serving::request_story const& story);
 
     /// Writes what standard output takes at once.
     void flush();
@@ -42,9 +47,10 @@
 
 private:
     bool within_rate();
-    void write(std::string line);
+    /// `fields` follow the ones that each line has.
+    void write(std::string_view event, std::string_view fields);
 
-    std::string host_;
+    std::string host_; ///< as JSON
     clock const& time_;
     std::shared_ptr<bounded_sink> sink_;
     std::unique_ptr<spdlog::logger> logger_;
--- a/host/include/host/host_settings.hpp
+++ b/host/include/host/host_settings.hpp
@@ -28,6 +28,8 @@
 
     std::string store;
 
+    double told_share = 0.01; ///< of well-served requests, in the log
+
     double retry_ratio = 0.2;
     double retry_slack = 0;
     duration retry_window = 10s;
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -8,6 +8,7 @@
 #include <host/front_service.hpp>
 #include <host/host_log.hpp>
 #include <http_parser.h>
+#include <serving/request_story.hpp>
 #include <serving/target.hpp>
 
 namespace kumquatramp::host
@@ -135,9 +136,9 @@
         auto const kind =
             refusing_ ? error_kind::leaving : error_kind::malformed_request;
         ++counters_.refused;
-        log_.request(state->id, true,
-                     refusing_ ? "refused: shutting down"
-                               : "refused: no host or no request id");
+        serving::request_story story;
+        story.outcome = answer_of(kind).code;
+        log_.request(state->id, story);
         server_.respond(exchange,
                         error_bytes(kind,
                                     refusing_ ? std::optional<duration>(100ms)
@@ -427,13 +428,13 @@
     server_.respond(request, std::move(bytes), false);
 }
 
-void front_service::log_request(serving::request_handle request, bool failed,
-                                std::string_view story)
+void front_service::log_request(serving::request_handle request,
+                                serving::request_story const& story)
 {
     auto const exchange = exchanges_.find(request);
     if (exchange != exchanges_.end())
     {
-        log_.request(exchange->second->id, failed, story);
+        log_.request(exchange->second->id, story);
     }
 }
 
--- a/host/src/host_log.cpp
+++ b/host/src/host_log.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <fmt/format.h>
 #include <host/host_log.hpp>
+#include <serving/request_story.hpp>
 #include <spdlog/logger.h>
 
 namespace kumquatramp::host
@@ -43,7 +44,7 @@
 }
 
 host_log::host_log(int fd, std::string host, clock const& time)
-    : host_(std::move(host))
+    : host_(json_text(host))
     , time_(time)
     , sink_(std::make_shared<bounded_sink>(fd))
     , logger_(std::make_unique<spdlog::logger>("host", sink_))
@@ -71,8 +72,21 @@
     return true;
 }
 
-void host_log::write(std::string line)
+void host_log::write(std::string_view event, std::string_view fields)
 {
+    if (!within_rate())
+    {
+        return;
+    }
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    std::string const line = fmt::format(
+        R"({{"unix_ms":{},"up_ms":{},"host":{},"event":"{}",{},"dropped":{}}})",
+        duration_cast<milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count(),
+        duration_cast<milliseconds>(time_.now().time_since_epoch()).count(),
+        host_, event, fields, sink_->dropped());
     if (sink_->has_room(line.size() + 1))
     {
         logger_->info("{}", line);
@@ -82,21 +96,23 @@
 void host_log::note(std::string_view event, std::string_view subject,
                     std::string_view detail)
 {
-    if (!within_rate())
-    {
-        return;
-    }
-    write(fmt::format(
-        R"({{"up_ms":{},"host":"{}","event":"{}","subject":{},"detail":{},"dropped":{}}})",
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            time_.now().time_since_epoch())
-            .count(),
-        host_, event, json_text(subject), json_text(detail), sink_->dropped()));
+    write(event, fmt::format(R"("subject":{},"detail":{})", json_text(subject),
+                             json_text(detail)));
 }
 
-void host_log::request(std::string_view id, bool failed, std::string_view story)
+void host_log::request(std::string_view id, serving::request_story const& story)
 {
-    note(failed ? "request.failed" : "request.degraded", id, story);
+    constexpr std::string_view events[] = {"request.served", "request.degraded",
+                                           "request.failed"};
+    write(events[static_cast<int>(story.kind)],
+          fmt::format(
+              R"("id":{},"outcome":"{}","route":{},"version":{},"after_ms":{},)"
+              R"("shards":{},"missing":{},"details":{})",
+              json_text(id), story.outcome, json_text(story.route),
+              story.version,
+              std::chrono::duration_cast<std::chrono::milliseconds>(story.took)
+                  .count(),
+              story.shards, story.missing, json_text(story.details)));
 }
 
 void host_log::flush()
--- a/host/src/host_settings.cpp
+++ b/host/src/host_settings.cpp
@@ -136,6 +136,7 @@
     s.gossip_port = static_cast<std::uint16_t>(port);
     s.seeds = split(read.optional_text("fleet.seeds"));
     s.store = read.text("store.address");
+    s.told_share = read.number("log.told_share", s.told_share);
     s.retry_ratio = read.number("bounds.retry_ratio", s.retry_ratio);
     s.retry_slack = read.number("bounds.retry_slack", s.retry_slack);
     s.retry_window =
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -96,6 +96,7 @@
 {
     serving::serving_options o;
     o.started = started;
+    o.told_share = s.told_share;
     o.retry_ratio = s.retry_ratio;
     o.retry_slack = s.retry_slack;
     o.retry_window = s.retry_window;
--- a/serving/include/serving/engine_port.hpp
+++ b/serving/include/serving/engine_port.hpp
@@ -5,7 +5,6 @@
 #include <base/time.hpp>
 #include <cstdint>
 #include <memory>
-#include <string_view>
 
 namespace kumquatramp::serving
 {
@@ -13,6 +12,7 @@
 struct target;
 struct client_answer;
 struct backend_service;
+struct request_story;
 
 using request_handle = std::uint64_t;
 using attempt_handle = std::uint64_t;
@@ -48,8 +48,8 @@
     virtual void answer(request_handle request, client_answer answer) = 0;
 
     /// A request has ended; one line with all that was decided on it.
-    virtual void log_request(request_handle request, bool failed,
-                             std::string_view story) = 0;
+    virtual void log_request(request_handle request,
+                             request_story const& story) = 0;
 };
 
 } // namespace kumquatramp::serving
--- a/serving/include/serving/serving_options.hpp
+++ b/serving/include/serving/serving_options.hpp
@@ -28,6 +28,9 @@
     /// Sends of one request to a shard, repeats to a refusing target included.
     int max_sends = 4;
 
+    /// Share of the well-served requests that are told in the log.
+    double told_share = 0.01;
+
     /// Requests in progress on this host; bounds memory under overload.
     std::size_t max_in_progress = 2000;
 };
--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -11,17 +11,6 @@
 namespace kumquatramp::serving
 {
 
-namespace
-{
-
-long long ms_between(time_point from, time_point to)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from)
-        .count();
-}
-
-} // namespace
-
 request_engine::details::details(serving_options options, random_source& random,
                                  target_book& book, fleet_size const& fleet,
                                  warmup_share& warmup, engine_port& port)
@@ -68,30 +57,33 @@
     port_.answer(request, std::move(refusal));
 }
 
+void request_engine::details::refuse_unadmitted(request_handle request,
+                                                error_kind error)
+{
+    request_story story;
+    story.outcome = answer_of(error).code;
+    story.version = catalogue_ ? catalogue_->version() : 0;
+    refuse(request, error);
+    port_.log_request(request, story);
+}
+
 void request_engine::details::submit(client_request const& request,
                                      time_point now)
 {
     if (!catalogue_)
     {
-        refuse(request.handle, error_kind::not_ready);
-        port_.log_request(request.handle, true,
-                          "refused: no configuration yet");
+        refuse_unadmitted(request.handle, error_kind::not_ready);
         return;
     }
     route const* on = catalogue_->find(request.host, request.path);
     if (on == nullptr)
     {
-        refuse(request.handle, error_kind::unknown_path);
-        port_.log_request(request.handle, true,
-                          "refused: no route in version " +
-                              std::to_string(catalogue_->version()));
+        refuse_unadmitted(request.handle, error_kind::unknown_path);
         return;
     }
     if (requests_.size() >= options_.max_in_progress)
     {
-        refuse(request.handle, error_kind::overloaded);
-        port_.log_request(request.handle, true,
-                          "refused: too many requests in progress");
+        refuse_unadmitted(request.handle, error_kind::overloaded);
         return;
     }
     admit(request, *on, now);
@@ -155,7 +147,9 @@
     if (reachable < needed(r))
     {
         refuse(r.handle, error_kind::no_target);
-        port_.log_request(r.handle, true, story(r, "refused: no target", now));
+        port_.log_request(r.handle,
+                          story(r, story_kind::failed,
+                                answer_of(error_kind::no_target).code, now));
         return;
     }
     auto& running = requests_.emplace(r.handle, std::move(r)).first->second;
@@ -293,7 +287,7 @@
         merge_parts(parts, static_cast<std::size_t>(r.on->top_records));
     bool const partial = merged.missing_parts > 0;
     port_.answer(r.handle, std::move(merged));
-    finish(r, false, partial ? "answered in part" : "answered", now);
+    finish(r, false, partial ? "answered_in_part" : "answered", now);
 }
 
 void request_engine::details::fail(running_request& r, error_kind error,
@@ -318,9 +312,12 @@
         r.on->scatters() &&
         r.count(shard_state::answered) < static_cast<int>(r.shards.size());
     bool const late = now - r.arrived > r.on->latency_objective;
-    if (failed || partial || late)
+    story_kind const kind = failed            ? story_kind::failed
+                            : partial || late ? story_kind::degraded
+                                              : story_kind::served;
+    if (kind != story_kind::served || random_.unit() < options_.told_share)
     {
-        port_.log_request(r.handle, failed, story(r, outcome, now));
+        port_.log_request(r.handle, story(r, kind, outcome, now));
     }
     for (auto& s : r.shards)
     {
@@ -338,47 +335,76 @@
     }
 }
 
-std::string request_engine::details::story(running_request const& r,
-                                           std::string_view outcome,
-                                           time_point now) const
+namespace
 {
-    std::string text(outcome);
-    text += " after " + std::to_string(ms_between(r.arrived, now)) +
-            " ms; route " + r.on->name + " of version " +
-            std::to_string(r.catalogue->version());
-    for (auto const& s : r.shards)
+
+char const* verb(try_state state)
+{
+    switch (state)
     {
-        if (s.now == shard_state::answered)
-        {
-            continue;
-        }
-        text += "; ";
-        text += s.service;
-        text += s.now == shard_state::lost       ? " lost"
-                : s.now == shard_state::deferred ? " deferred"
-                                                 : " waiting";
-        for (auto const& t : s.tries)
-        {
-            text += t.state == try_state::refused  ? " refused-by "
-                    : t.state == try_state::unsent ? " unsent-to "
-                                                   : " sent-to ";
-            text += t.to->record.id;
-            if (t.to->overdue > 0)
-            {
-                text += "(overdue)";
-            }
-        }
-        if (s.cause[0] != '\0')
+    case try_state::refused:
+        return " refused-by ";
+    case try_state::unsent:
+        return " unsent-to ";
+    case try_state::sent:
+        break;
+    }
+    return " sent-to ";
+}
+
+std::string describe(shard_progress const& s)
+{
+    std::string text(s.service);
+    text += s.now == shard_progress::state::answered   ? " answered"
+            : s.now == shard_progress::state::lost     ? " lost"
+            : s.now == shard_progress::state::deferred ? " deferred"
+                                                       : " waiting";
+    for (auto const& t : s.tries)
+    {
+        text += verb(t.state);
+        text += t.to->record.id;
+        if (t.to->overdue > 0)
         {
-            text += " last: ";
-            text += s.cause;
+            text += "(overdue)";
         }
-        if (s.status != 0)
+    }
+    if (s.cause[0] != '\0')
+    {
+        text.append(", last: ").append(s.cause);
+    }
+    if (s.status != 0)
+    {
+        text += ", status " + std::to_string(s.status);
+    }
+    return text;
+}
+
+} // namespace
+
+request_story request_engine::details::story(running_request const& r,
+                                             story_kind kind,
+                                             std::string_view outcome,
+                                             time_point now) const
+{
+    request_story told{.kind = kind,
+                       .outcome = outcome,
+                       .route = r.on->name,
+                       .version = r.catalogue->version(),
+                       .took = now - r.arrived,
+                       .shards = static_cast<int>(r.shards.size()),
+                       .missing = 0,
+                       .details = {}};
+    for (auto const& s : r.shards)
+    {
+        bool const answered = s.now == shard_state::answered;
+        told.missing += answered ? 0 : 1;
+        if (!answered || s.sends > 1)
         {
-            text += " status " + std::to_string(s.status);
+            told.details += told.details.empty() ? "" : "; ";
+            told.details += describe(s);
         }
     }
-    return text;
+    return told;
 }
 
 void request_engine::details::client_gone(request_handle request,
@@ -392,7 +418,7 @@
     running_request& r = found->second;
     if (!r.finished)
     {
-        finish(r, true, "client left", now);
+        finish(r, true, "client_left", now);
     }
     if (r.on->idempotent)
     {
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -8,6 +8,7 @@
 #include <base/error_kind.hpp>
 #include <map>
 #include <serving/request_engine.hpp>
+#include <serving/request_story.hpp>
 #include <serving/retry_budget.hpp>
 #include <unordered_map>
 
@@ -35,6 +36,7 @@
     using shard_state = shard_progress::state;
 
     void refuse(request_handle request, error_kind error);
+    void refuse_unadmitted(request_handle request, error_kind error);
     void admit(client_request const& request, route const& on, time_point now);
     std::string const& choose_service(route const& on);
 
@@ -79,8 +81,8 @@
     int needed(running_request const& r) const;
     route_statistics& statistics(route const& on);
     retry_budget& budget(std::string_view service);
-    std::string story(running_request const& r, std::string_view outcome,
-                      time_point now) const;
+    request_story story(running_request const& r, story_kind kind,
+                        std::string_view outcome, time_point now) const;
 
     random_source& random_;
     target_book& book_;
--- a/serving/src/target_book.cpp
+++ b/serving/src/target_book.cpp
@@ -165,7 +165,8 @@
     }
 }
 
-void target_book::set_evacuated(std::set<std::string> const& zones, time_point now)
+void target_book::set_evacuated(std::set<std::string> const& zones,
+                                time_point now)
 {
     auto const before = evacuated_;
     for (auto const& zone : before)
--- a/serving/tests/engine_world.cpp
+++ b/serving/tests/engine_world.cpp
@@ -176,8 +176,8 @@
     answers.emplace(request, std::move(answer));
 }
 
-void engine_world::log_request(request_handle request, bool,
-                               std::string_view story)
+void engine_world::log_request(request_handle request,
+                               request_story const& story)
 {
     stories[request] = story;
 }
--- a/serving/tests/engine_world.hpp
+++ b/serving/tests/engine_world.hpp
@@ -10,6 +10,7 @@
 #include <serving/engine_port.hpp>
 #include <serving/fleet_size.hpp>
 #include <serving/request_engine.hpp>
+#include <serving/request_story.hpp>
 #include <serving/route_catalogue.hpp>
 #include <serving/target.hpp>
 #include <serving/target_book.hpp>
@@ -78,8 +79,8 @@
     void start_attempt(attempt_order const& order) override;
     void abandon_attempt(attempt_handle attempt) override;
     void answer(request_handle request, client_answer answer) override;
-    void log_request(request_handle request, bool failed,
-                     std::string_view story) override;
+    void log_request(request_handle request,
+                     request_story const& story) override;
 
     time_point now = time_point(1h);
     seeded_random random;
@@ -90,7 +91,7 @@
     request_engine engine;
 
     std::map<request_handle, client_answer> answers;
-    std::map<request_handle, std::string> stories;
+    std::map<request_handle, request_story> stories;
     std::vector<std::string> sent; ///< targets in the order of sends
     std::vector<attempt_handle> abandoned;
 
--- a/serving/tests/request_engine_test.cpp
+++ b/serving/tests/request_engine_test.cpp
@@ -124,7 +124,10 @@
     world.advance(5ms);
     REQUIRE(world.answers.contains(1));
     CHECK(world.answers.at(1).missing_parts == 1);
-    CHECK(world.stories.at(1).find("s3") != std::string::npos);
+    CHECK(world.stories.at(1).outcome == "answered_in_part");
+    CHECK(world.stories.at(1).missing == 1);
+    CHECK(world.stories.at(1).details.find("s3 waiting sent-to s3-zone-a"
+                                           "(overdue)") == 0);
 }
 
 TEST_CASE("a query below its least coverage waits and then fails")
--- a/tools/kumquatrampctl/commands.cpp
+++ b/tools/kumquatrampctl/commands.cpp
@@ -1,5 +1,6 @@
 // The subcommands of kumquatrampctl.
 #include "commands.hpp"
+#include "explain.hpp"
 #include "host_query.hpp"
 #include "options.hpp"
 #include "table.hpp"
@@ -9,6 +10,7 @@
 #include <burn/render_burn.hpp>
 #include <cstdio>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <rules/parse_rules.hpp>
 #include <rules/ruleset.hpp>
@@ -164,6 +166,50 @@
     return exit_good;
 }
 
+int explain(ctl_options const& options)
+{
+    std::ifstream file;
+    if (options.file != "-")
+    {
+        file.open(options.file);
+        if (!file)
+        {
+            std::fprintf(stderr, "%s: cannot be read\n", options.file.c_str());
+            return exit_usage;
+        }
+    }
+    auto const story = explain_request(options.file == "-" ? std::cin : file,
+                                       options.argument);
+    Json::Value lines(Json::arrayValue);
+    for (auto const& line : story)
+    {
+        Json::Value entry;
+        entry["unix_ms"] = static_cast<Json::Int64>(line.unix_ms);
+        entry["host"] = line.host;
+        entry["event"] = line.event;
+        entry["text"] = line.text;
+        lines.append(entry);
+        if (!options.json)
+        {
+            print(std::to_string(line.unix_ms) + " " + line.host + " " +
+                  line.event + "\n    " + line.text + "\n");
+        }
+    }
+    if (options.json)
+    {
+        print(to_json_text(lines) + "\n");
+    }
+    if (story.empty())
+    {
+        std::fprintf(stderr,
+                     "%s: no line; it was served well and not in the sample, "
+                     "or its host's log is another\n",
+                     options.argument.c_str());
+        return exit_faults;
+    }
+    return exit_good;
+}
+
 int show_burn(ctl_options const& options)
 {
     int code = exit_good;
--- a/tools/kumquatrampctl/commands.hpp
+++ b/tools/kumquatrampctl/commands.hpp
@@ -18,6 +18,9 @@
 /// Shows what became of a request id.
 int show_outcome(ctl_options const& options);
 
+/// Tells one request's story out of a log file, or standard input for "-".
+int explain(ctl_options const& options);
+
 /// Shows the service-level burn of the hosts together.
 int show_burn(ctl_options const& options);
 
--- a/tools/kumquatrampctl/main.cpp
+++ b/tools/kumquatrampctl/main.cpp
@@ -28,6 +28,8 @@
     "  kumquatrampctl drains            the targets that get no new work\n"
     "  kumquatrampctl config            versions in force, refused ones\n"
     "  kumquatrampctl outcome ID        what became of a request id\n"
+    "  kumquatrampctl explain ID [FILE] a request's story from a host's log;\n"
+    "                                   standard input without FILE\n"
     "  kumquatrampctl burn              service-level burn of the hosts\n"
     "Flags: --admin IP:PORT[,IP:PORT...], --callers IP:PORT, --json, --html\n"
     "Exit codes: 0 good, 1 the file has faults or the id is refused, 2 bad\n"
@@ -59,7 +61,8 @@
 
 bool takes_argument(std::string_view command)
 {
-    return command == "check-rules" || command == "outcome";
+    return command == "check-rules" || command == "outcome" ||
+           command == "explain";
 }
 
 int run(ctl_options const& options)
@@ -72,6 +75,10 @@
     {
         return show_outcome(options);
     }
+    if (options.command == "explain")
+    {
+        return explain(options);
+    }
     if (options.command == "burn")
     {
         return show_burn(options);
@@ -107,6 +114,11 @@
     options.admins = *admins;
     options.callers = *callers;
     int const wanted = takes_argument(options.command) ? 3 : 2;
+    if (options.command == "explain" && argc == 4)
+    {
+        options.file = argv[3];
+        --argc;
+    }
     if (argc != wanted)
     {
         return complain(wanted == 3 ? "the command takes one argument"
--- a/tools/kumquatrampctl/options.hpp
+++ b/tools/kumquatrampctl/options.hpp
@@ -16,11 +16,13 @@
     std::vector<socket_address> admins; ///< operators' ports of the hosts
     socket_address callers;             ///< callers' port, for `outcome`
     bool json = false;
-    std::string html; ///< file for the burn report's page
+    std::string file = "-"; ///< log to explain from; "-": standard input
+    std::string html;       ///< file for the burn report's page
 };
 
 inline constexpr int exit_good = 0;
-inline constexpr int exit_faults = 1;      ///< the rules file has faults
+inline constexpr int exit_faults =
+    1; ///< the rules file has faults, or no line tells of the id
 inline constexpr int exit_usage = 2;       ///< bad command line or file
 inline constexpr int exit_unreachable = 3; ///< a host did not answer
 
