--- a/host/include/host/host_log.hpp
+++ b/host/include/host/host_log.hpp
@@ -31,7 +31,7 @@
 {
 public:
     /// `fd` is written without blocking; `host` stands in each line.
-    host_log(int fd, std::string host, clock const& time);
+    host_log(int fd, std::string_view host, clock const& time);
     ~host_log() override;
 
     void note(std::string_view event, std::string_view subject,
--- a/host/src/host_log.cpp
+++ b/host/src/host_log.cpp
@@ -43,7 +43,7 @@
     return quoted;
 }
 
-host_log::host_log(int fd, std::string host, clock const& time)
+host_log::host_log(int fd, std::string_view host, clock const& time)
     : host_(json_text(host))
     , time_(time)
     , sink_(std::make_shared<bounded_sink>(fd))
