--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -168,7 +168,6 @@
     // What the present listing of the store has named so far.
     std::set<std::string, std::less<>> listed_;
     std::set<std::string> listed_zones_;
-    bool listing_ = false;
 
     bool serving_ = false;     ///< takes clients; otherwise stands by
     time_point last_needed_{}; ///< when it last belonged to the set
@@ -359,7 +358,6 @@
 
 void query_host::details::begin_listing()
 {
-    listing_ = true;
     listed_.clear();
     listed_zones_.clear();
 }
@@ -400,7 +398,6 @@
 
 void query_host::details::end_listing(time_point now)
 {
-    listing_ = false;
     book_.retain(listed_, now);
     book_.set_evacuated(listed_zones_, now);
     fleet_.set_ready(ready());
