Follow the store at once when a host starts; end taking requests within 3 s

Change: the first call leaves at the start; Retry-After 250 ms; requests are taken in for 2.9 s after SIGTERM, so that the last ones end within the grace.

--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -53,9 +53,10 @@
 constexpr double lateness_gain = 0.05;
 
 /// After SIGTERM clients still come for the directory's lifetime.
-constexpr duration farewell = 3200ms;
-/// Kept back from the grace for the last answers and the exit.
+constexpr duration farewell = 2900ms;
+/// Kept back from the grace: for the exit, and for requests taken in last.
 constexpr duration exit_margin = 700ms;
+constexpr duration last_requests = 500ms;
 
 /// Shares of the bound on draining: how long changes may be collected, and how
 /// long a target whose entry has gone stays a last resort. Their sum leaves
@@ -260,6 +261,7 @@
     every(sweep_timer_, sweep_every, &details::sweep);
     every(gossip_timer_, fleet::fleet_view::round, &details::gossip);
     follower_.pause();
+    check_duty(time_.now());
     gossip();
     loop_.run();
     log_.note("host.stopped", settings_.name, "shutdown complete");
@@ -494,7 +496,8 @@
         return;
     }
     duration const since = now - *leaving_since_;
-    if (since < farewell)
+    if (since < std::min(farewell, settings_.shutdown_grace - exit_margin -
+                                       last_requests))
     {
         return;
     }
--- a/serving/include/serving/serving_options.hpp
+++ b/serving/include/serving/serving_options.hpp
@@ -22,8 +22,9 @@
 
     /// Retry-After of a refusal for want of room: about one service time.
     duration busy_retry_after = 150ms;
-    /// Retry-After while this host knows no configuration or no target.
-    duration unready_retry_after = 500ms;
+    /// Retry-After while this host knows no configuration or no target: about
+    /// twice the time that a host takes from its start to its first listing.
+    duration unready_retry_after = 250ms;
 
     /// Sends of one request to a shard, repeats to a refusing target included.
     int max_sends = 4;
