--- a/serving/include/serving/retry_budget.hpp
+++ b/serving/include/serving/retry_budget.hpp
@@ -24,7 +24,8 @@
     };
 
     /// `started` is the start of this host: an earlier life of it may have
-    /// spent its share of the slack, so it has none for one window.
+    /// spent its share, so for one window there is no slack and half the
+    /// ratio.
     void configure(double ratio, double slack, duration window,
                    time_point started);
 
@@ -50,7 +51,8 @@
 
     slice& slice_at(time_point now);
     double bound(int hosts, time_point now);
-    double spent(time_point now);
+    /// Extra sends of the last so many whole slices and the present one.
+    double spent(int slices, time_point now);
 
     double ratio_ = 0;
     double slack_ = 0;
--- a/serving/src/retry_budget.cpp
+++ b/serving/src/retry_budget.cpp
@@ -16,8 +16,13 @@
 constexpr double safety = 0.9;
 /// Share of the budget that hedges may use; the rest is for failures.
 constexpr double hedge_share = 0.8;
+/// Half a window may use this share, so that a host which restarts within a
+/// window has not spent all of it before.
+constexpr double half_window_share = 0.7;
+/// Of the ratio, for one window after a start.
+constexpr double restarted_share = 0.5;
 /// Beyond this share the rest is kept for requests that fail without it.
-constexpr double scarce_share = 0.6;
+constexpr double scarce_share = 0.5;
 
 } // namespace
 
@@ -57,17 +62,20 @@
             requests += s.requests;
         }
     }
-    double const slack = now < slack_from_ ? 0.0 : slack_ / std::max(hosts, 1);
-    return safety * (ratio_ * requests + slack);
+    if (now < slack_from_)
+    {
+        return safety * restarted_share * ratio_ * requests;
+    }
+    return safety * (ratio_ * requests + slack_ / std::max(hosts, 1));
 }
 
-double retry_budget::spent(time_point now)
+double retry_budget::spent(int slices, time_point now)
 {
     std::int64_t const present = slice_at(now).index;
     int extras = 0;
     for (slice const& s : slices_)
     {
-        if (s.index >= present - window_slices && s.index <= present)
+        if (s.index >= present - slices && s.index <= present)
         {
             extras += s.extras;
         }
@@ -78,12 +86,14 @@
 double retry_budget::left(use purpose, int hosts, time_point now)
 {
     double const share = purpose == use::hedge ? hedge_share : 1.0;
-    return share * bound(hosts, now) - spent(now);
+    double const whole = share * bound(hosts, now);
+    return std::min(whole - spent(window_slices, now),
+                    whole * half_window_share - spent(window_slices / 2, now));
 }
 
 bool retry_budget::scarce(int hosts, time_point now)
 {
-    return spent(now) > scarce_share * bound(hosts, now);
+    return spent(window_slices, now) > scarce_share * bound(hosts, now);
 }
 
 bool retry_budget::spend(use purpose, int hosts, time_point now)
--- a/serving/tests/retry_budget_test.cpp
+++ b/serving/tests/retry_budget_test.cpp
@@ -115,6 +115,43 @@
     CHECK(count.holds());
 }
 
+TEST_CASE(
+    "load pattern rolling restart: a surge of repeats while hosts restart "
+    "one after the other keeps the bound of the fleet")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        constexpr int hosts = 15;
+        seeded_random random(seed);
+        auto all = budgets(hosts, start - 1h);
+        fleet_count count;
+        time_point now = start;
+        for (int i = 0; i < 6000; ++i)
+        {
+            now += 5ms;
+            // From 15 s on every request wants an extra send; from 18 s on a
+            // host restarts each 600 ms.
+            bool const surge = now >= start + 15s;
+            int const restarted = static_cast<int>((now - start - 18s) / 600ms);
+            if (now >= start + 18s && restarted < hosts &&
+                (now - start - 18s) % 600ms < 5ms)
+            {
+                all[static_cast<std::size_t>(restarted)] =
+                    budgets(1, now).front();
+            }
+            auto& b = all[random.below(hosts)];
+            b.count_request(now);
+            count.requests.push_back(now);
+            if (surge && b.spend(retry_budget::use::retry, hosts, now))
+            {
+                count.extras.push_back(now);
+            }
+        }
+        INFO("seed " << seed);
+        CHECK(count.holds());
+    }
+}
+
 TEST_CASE("hedges leave a part of the budget for failures")
 {
     auto b = budgets(1, start - 1h).front();
