--- a/serving/include/serving/target.hpp
+++ b/serving/include/serving/target.hpp
@@ -25,6 +25,11 @@
     time_point unlisted_since = never;
     time_point cold_until{};
 
+    /// Another instance answered at its address: it is not there, whatever
+    /// the registry says. Ends by itself, or with a new entry.
+    bool misdirected = false;
+    time_point misdirected_since{};
+
     int in_flight = 0; ///< >= 0
     int overdue = 0;   ///< attempts in flight past their hedge delay
 
@@ -48,7 +53,8 @@
 
     bool usable() const
     {
-        return listed == listing::ready || listed == listing::unlisted;
+        return !misdirected &&
+               (listed == listing::ready || listed == listing::unlisted);
     }
 };
 
--- a/serving/include/serving/target_book.hpp
+++ b/serving/include/serving/target_book.hpp
@@ -84,6 +84,8 @@
     bool admits(target const& t);
     /// The target says itself that it is leaving.
     void mark_leaving(target& t, time_point now);
+    /// Another instance is at the target's address.
+    void mark_misdirected(target& t, time_point now);
     void mark_cold(target& t, duration left, time_point now);
 
     std::size_t size() const { return by_id_.size(); }
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -204,6 +204,10 @@
         book_.report_load(t, *reply.busy, statistics(*r->on).latency.usual(),
                           r->on->latency_objective, now);
     }
+    if (reply.misdirected)
+    {
+        book_.mark_misdirected(t, now);
+    }
     if (reply.leaving)
     {
         book_.mark_leaving(t, now);
--- a/serving/src/target_book.cpp
+++ b/serving/src/target_book.cpp
@@ -20,6 +20,9 @@
 /// Pause after the n-th failure in a row: first, doubled each time, at most.
 constexpr duration first_avoidance = 60ms;
 constexpr duration longest_avoidance = 1500ms;
+/// A target whose address another one has is asked again after this time, if
+/// the registry still lists it: each question is an arrival at the other.
+constexpr duration misdirected_for = 8s;
 /// Failures in a row before a target is left out for a while.
 constexpr int tolerated_failures = 2;
 
@@ -68,6 +71,7 @@
     }
     known->listed = listed;
     known->unlisted_since = never;
+    known->misdirected = false;
     if (record.warmup_left > duration::zero())
     {
         known->cold_until = now + record.warmup_left;
@@ -160,6 +164,10 @@
     for (auto it = by_id_.begin(); it != by_id_.end();)
     {
         auto const& t = it->second;
+        if (t->misdirected && now - t->misdirected_since >= misdirected_for)
+        {
+            t->misdirected = false;
+        }
         if (t->listed == listing::unlisted &&
             now - t->unlisted_since >= unlisted_hold_)
         {
@@ -263,6 +271,17 @@
     t.avoid_until = std::max(t.avoid_until, now + first_avoidance);
 }
 
+void target_book::mark_misdirected(target& t, time_point now)
+{
+    if (!t.misdirected)
+    {
+        log_.note("target.misdirected", t.record.id,
+                  "another instance is at " + t.record.address);
+    }
+    t.misdirected = true;
+    t.misdirected_since = now;
+}
+
 void target_book::mark_cold(target& t, duration left, time_point now)
 {
     t.cold_until = std::max(t.cold_until, now + left);
--- a/serving/tests/engine_world.cpp
+++ b/serving/tests/engine_world.cpp
@@ -125,6 +125,7 @@
     r.status = status;
     r.stamped = kind == reply_kind::answered;
     r.stamp = r.stamped ? "stamp-" + target : "";
+    r.misdirected = status == 421;
     r.cause = "by the test";
     engine.on_reply(attempt, r, now);
 }
--- a/serving/tests/request_engine_test.cpp
+++ b/serving/tests/request_engine_test.cpp
@@ -256,6 +256,36 @@
     CHECK(answer_of(world.answers.at(1).error).http_status == 503);
 }
 
+TEST_CASE("load pattern reused address: a target that another instance stands "
+          "in for gets nothing more")
+{
+    engine_world world;
+    world.add_targets("desk", zones);
+    world.configure({"desk"}, 1.0);
+    world.submit(1, "/desk/x");
+    std::string const first = world.sent.back();
+    world.reply(first, reply_kind::not_executed, 421);
+    for (request_handle h = 2; h <= 40; ++h)
+    {
+        world.submit(h, "/desk/x");
+        world.advance(100ms);
+        world.reply_all_but();
+    }
+    CHECK(world.sends_to(first) == 1);
+
+    SECTION("the registry tells of it anew")
+    {
+        world.add_targets("desk", {first.substr(first.find('-') + 1)});
+        CHECK(world.book.usable_count() == 3);
+    }
+    SECTION("after a while it is asked again")
+    {
+        world.now += 8s;
+        world.book.tick(world.now);
+        CHECK(world.book.usable_count() == 3);
+    }
+}
+
 TEST_CASE("the client's leaving breaks off its repeatable work only")
 {
     engine_world world;
