--- a/host/bench/query_path.cpp
+++ b/host/bench/query_path.cpp
@@ -172,6 +172,7 @@
     std::atomic<long> answered{0};
     asio::io_context outside;
     std::vector<std::unique_ptr<part_server>> servers;
+    servers.reserve(shards);
     for (std::uint16_t i = 0; i < shards; ++i)
     {
         servers.push_back(std::make_unique<part_server>(
@@ -200,6 +201,7 @@
     front.server().listen(local(front_port));
 
     std::vector<std::unique_ptr<query_client>> queries;
+    queries.reserve(clients);
     for (int i = 0; i < clients; ++i)
     {
         queries.push_back(std::make_unique<query_client>(outside, answered));
