--- a/build.sh
+++ b/build.sh
@@ -16,7 +16,7 @@
     libasio-dev libjsonrpccpp-dev libjsoncpp-dev libcpp-httplib-dev
     libgflags-dev libspdlog-dev libboost-dev catch2 libtrompeloeil-cpp-dev
     libinih-dev libbenchmark-dev libxxhash-dev libssl-dev libcurl4-openssl-dev
-    libhttp-parser-dev libmsgpack-cxx-dev curl
+    libhttp-parser-dev libmsgpack-cxx-dev rapidjson-dev curl
 )
 
 setup() {
--- /dev/null
+++ b/eventloop/include/eventloop/http_answer.hpp
@@ -0,0 +1,30 @@
+// An answer that this host makes itself, as bytes.
+#ifndef KUMQUATRAMP_EVENTLOOP_HTTP_ANSWER_HPP
+#define KUMQUATRAMP_EVENTLOOP_HTTP_ANSWER_HPP
+
+#include <base/time.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace kumquatramp::eventloop
+{
+
+struct http_answer
+{
+    int status = 200;
+    std::string_view content_type = "application/json";
+    std::string body{};
+    std::optional<duration> retry_after{};
+    bool close = false; ///< the connection ends after it
+};
+
+/// Status line, headers and body.
+std::string serialize(http_answer const& answer);
+
+/// The usual words for a status, e.g. "Not Found".
+std::string_view reason_of(int status);
+
+} // namespace kumquatramp::eventloop
+
+#endif
--- a/eventloop/include/eventloop/http_server.hpp
+++ b/eventloop/include/eventloop/http_server.hpp
@@ -50,8 +50,9 @@
                 request_handler& handler);
     ~http_server();
 
-    /// Throws std::system_error if the address cannot be bound.
-    void listen(asio::ip::tcp::endpoint const& at);
+    /// Throws std::system_error if the address cannot be bound; gives the
+    /// port.
+    std::uint16_t listen(asio::ip::tcp::endpoint const& at);
     void stop_listening();
 
     void set_limits(serving::edge_limits const& limits);
@@ -70,11 +71,16 @@
     std::size_t connections() const { return connections_.size(); }
     /// Requests that have been read and not answered.
     std::size_t open_exchanges() const { return exchanges_.size(); }
+    /// Requests that have been read and not answered, and answers of which
+    /// the socket has not taken all bytes: a process that ends before this is
+    /// 0 cuts them.
+    std::size_t unfinished() const;
     void close_all();
 
 private:
     friend class server_connection;
     void accept();
+    void admit(asio::ip::tcp::socket socket);
 
     asio::io_context& loop_;
     clock const& time_;
--- a/eventloop/include/eventloop/message_reader.hpp
+++ b/eventloop/include/eventloop/message_reader.hpp
@@ -51,6 +51,7 @@
     void reset(bool no_body = false);
 
     void set_limits(std::size_t header_bytes, std::size_t body_bytes);
+    void set_header_lines(std::size_t most) { line_limit_ = most; }
 
     progress state() const { return state_; }
     bool failed() const { return state_ > progress::complete; }
@@ -74,6 +75,7 @@
     kind kind_;
     std::size_t header_limit_;
     std::size_t body_limit_;
+    std::size_t line_limit_ = 1000;
     progress state_ = progress::idle;
     http_message message_;
     std::size_t head_size_ = 0;
--- a/eventloop/include/eventloop/upstream_pool.hpp
+++ b/eventloop/include/eventloop/upstream_pool.hpp
@@ -20,11 +20,20 @@
 /// How a send over a connection ended.
 enum class send_outcome
 {
-    answered, ///< a whole, well-formed answer
-    not_sent, ///< no byte of the request left this host
-    broken,   ///< bytes left, and no whole answer came
+    answered,    ///< a whole, well-formed answer
+    not_sent,    ///< no byte of the request left this host
+    unconnected, ///< the same, since no connection came to stand
+    broken,      ///< bytes left, and nothing came back
+    unreadable,  ///< bytes left; what came is no whole answer to the request
 };
 
+/// Whether the target can't have seen the request.
+constexpr bool certainly_unsent(send_outcome outcome)
+{
+    return outcome == send_outcome::not_sent ||
+           outcome == send_outcome::unconnected;
+}
+
 /// Provides the bytes of requests and receives their ends.
 class upstream_client
 {
@@ -45,6 +54,10 @@
     /// and is empty if the client itself did not want the send any more.
     virtual void on_end(serving::attempt_handle attempt, send_outcome outcome,
                         http_message* answer, char const* cause) = 0;
+
+    /// A connection was closed while idle, or could not be made; told once
+    /// until one stands again.
+    virtual void on_connection_lost(serving::target const& /*to*/) {}
 };
 
 struct pool_figures
@@ -65,6 +78,15 @@
     /// waits for one else. `no_body`: the answer has no body (HEAD).
     void start(serving::attempt_order const& order, bool no_body);
 
+    /// Keeps `warm` connections open ahead of need, and closes idle ones
+    /// beyond `limit`. Holds until it is called again for the target.
+    void keep(std::shared_ptr<serving::target> const& to, std::size_t limit,
+              std::size_t warm);
+
+    /// Takes an attempt back if no byte of it has left: it ends as not_sent.
+    /// False if bytes have left.
+    bool withdraw(serving::attempt_handle attempt);
+
     /// Ends an attempt; a connection that it is on is closed.
     void abandon(serving::attempt_handle attempt);
 
@@ -73,6 +95,9 @@
 
     pool_figures figures() const;
 
+    /// Ends all attempts and connections; nothing is kept any more.
+    void close_all();
+
 private:
     friend class upstream_connection;
     struct lane; // the connections to one target
@@ -83,7 +108,12 @@
         bool no_body = false;
     };
 
+    lane& lane_to(std::shared_ptr<serving::target> const& to);
     void dispatch(lane& l);
+    void tend(lane& l);
+    void open(lane& l, order_state order);
+    void lost(std::string const& lane);
+    void stands(std::string const& lane);
     void finish(serving::attempt_handle attempt, send_outcome outcome,
                 http_message* answer, char const* cause);
     void finish_later(serving::attempt_handle attempt, char const* cause);
--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -27,6 +27,7 @@
     , since_(server.time_.now())
     , last_byte_(since_)
 {
+    reader_.set_header_lines(server.limits_.header_lines);
 }
 
 void server_connection::start()
@@ -226,7 +227,11 @@
 void server_connection::sweep(time_point now,
                               serving::edge_limits const& limits)
 {
-    using progress = message_reader::progress;
+    if (writing_ && now - since_ >= limits.write_timeout)
+    {
+        close();
+        return;
+    }
     if (exchange_ != 0 || closed_ || writing_)
     {
         return;
@@ -239,20 +244,28 @@
         }
         return;
     }
-    bool const in_head = reader_.state() == progress::head;
-    bool const in_body = reader_.state() == progress::body;
-    if (in_head ? now - since_ >= limits.header_timeout
-                : in_body && now - last_byte_ >= limits.idle_timeout)
+    if (reader_.state() == message_reader::progress::idle)
     {
-        refuse(error_kind::request_timeout);
-        return;
+        if (now - since_ >= limits.idle_timeout)
+        {
+            close();
+        }
     }
-    if (!in_head && !in_body && now - since_ >= limits.idle_timeout)
+    else if (overdue(now, limits))
     {
-        close();
+        refuse(error_kind::request_timeout);
     }
 }
 
+bool server_connection::overdue(time_point now,
+                                serving::edge_limits const& limits) const
+{
+    bool const in_head = reader_.state() == message_reader::progress::head;
+    return now - since_ >= limits.message_timeout ||
+           (in_head ? now - since_ >= limits.header_timeout
+                    : now - last_byte_ >= limits.idle_timeout);
+}
+
 void server_connection::close()
 {
     if (closed_)
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -19,10 +19,15 @@
     server_connection(http_server& server, asio::ip::tcp::socket socket);
 
     void start();
+    /// Answers with a rejection and ends the connection.
+    void refuse(error_kind kind);
     void respond(std::string bytes, bool close);
     void sweep(time_point now, serving::edge_limits const& limits);
     void close();
 
+    /// The socket has not taken all bytes of an answer.
+    bool is_writing() const { return writing_ && !closed_; }
+
     /// Not answered yet; 0: none.
     exchange_id exchange() const { return exchange_; }
 
@@ -31,7 +36,7 @@
     void on_readable();
     void take(std::span<char const> bytes);
     void process();
-    void refuse(error_kind kind);
+    bool overdue(time_point now, serving::edge_limits const& limits) const;
     void write(std::string bytes);
     void after_write();
 
@@ -48,7 +53,8 @@
     bool lingering_ = false; ///< our side has ended; the rest is discarded
     bool closed_ = false;
     bool continued_ = false; ///< 100 Continue has been sent
-    time_point since_;       ///< of the present phase: idle, head, lingering
+    time_point since_;       ///< of the present phase: idle, request, answer
+                             ///< being written, lingering
     time_point last_byte_;
 };
 
--- a/eventloop/src/details/upstream_connection.cpp
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -34,11 +34,15 @@
 {
 }
 
-void upstream_connection::connect(asio::ip::tcp::endpoint const& to,
-                                  upstream_pool::order_state order)
+void upstream_connection::connect(
+    asio::ip::tcp::endpoint const& to,
+    std::optional<upstream_pool::order_state> order)
 {
-    order_ = std::move(order);
-    has_order_ = true;
+    has_order_ = order.has_value();
+    if (order)
+    {
+        order_ = std::move(*order);
+    }
     socket_.async_connect(
         to, [self = shared_from_this()](asio::error_code const& failed)
         { self->on_connected(failed); });
@@ -58,6 +62,7 @@
     set_common_options(socket_);
     state_ = state::idle;
     since_ = pool_.time_.now();
+    pool_.stands(lane_);
     wait_readable();
     if (has_order_)
     {
@@ -79,10 +84,11 @@
     auto const self = shared_from_this();
     bool const had_order = has_order_;
     auto const attempt = had_order ? take_attempt() : 0;
+    pool_.lost(lane_);
     close();
     if (had_order)
     {
-        pool_.finish(attempt, send_outcome::not_sent, nullptr, cause);
+        pool_.finish(attempt, send_outcome::unconnected, nullptr, cause);
     }
 }
 
@@ -109,6 +115,7 @@
         return;
     }
     state_ = state::busy;
+    answering_ = false;
     reader_.reset(order_.no_body);
     asio::error_code failed;
     std::size_t const sent = socket_.write_some(asio::buffer(bytes), failed);
@@ -180,6 +187,7 @@
         close();
         return;
     }
+    answering_ = true;
     while (!bytes.empty())
     {
         bytes = bytes.subspan(reader_.feed(bytes));
@@ -220,10 +228,17 @@
     bool const malformed = reader_.failed() && !in_order;
     bool const had_order = has_order_;
     auto const attempt = had_order ? take_attempt() : 0;
+    if (state_ == state::idle)
+    {
+        pool_.lost(lane_);
+    }
     close();
     if (had_order)
     {
-        pool_.finish(attempt, send_outcome::broken, nullptr,
+        pool_.finish(attempt,
+                     answering_ ? send_outcome::unreadable
+                                : send_outcome::broken,
+                     nullptr,
                      malformed  ? "malformed answer"
                      : in_order ? "connection closed before the answer's end"
                                 : "connection reset");
@@ -243,7 +258,7 @@
     }
     else
     {
-        pool_.finish(attempt, send_outcome::broken, nullptr,
+        pool_.finish(attempt, send_outcome::unreadable, nullptr,
                      "answer to another request");
     }
     if (state_ == state::closed)
--- a/eventloop/src/details/upstream_connection.hpp
+++ b/eventloop/src/details/upstream_connection.hpp
@@ -7,6 +7,7 @@
 #include <eventloop/message_reader.hpp>
 #include <eventloop/upstream_pool.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace kumquatramp::eventloop
@@ -26,9 +27,9 @@
 
     upstream_connection(upstream_pool& pool, std::string lane);
 
-    /// `order` is sent once the connection stands.
+    /// `order`, if there is one, is sent once the connection stands.
     void connect(asio::ip::tcp::endpoint const& to,
-                 upstream_pool::order_state order);
+                 std::optional<upstream_pool::order_state> order);
     void send(upstream_pool::order_state order);
 
     /// Takes the order back if none of its bytes have left.
@@ -61,7 +62,8 @@
     message_reader reader_;
     upstream_pool::order_state order_;
     bool has_order_ = false;
-    bool writing_ = false; ///< the socket has not taken the whole request
+    bool answering_ = false; ///< bytes have come since the request left
+    bool writing_ = false;   ///< the socket has not taken the whole request
     std::string out_;
     state state_ = state::connecting;
     time_point since_; ///< of the present state
--- a/eventloop/src/http_server.cpp
+++ b/eventloop/src/http_server.cpp
@@ -1,5 +1,6 @@
 // Accepts connections and routes answers back to them.
 #include "details/server_connection.hpp"
+#include <algorithm>
 #include <eventloop/http_server.hpp>
 #include <eventloop/socket_options.hpp>
 
@@ -17,13 +18,14 @@
 
 http_server::~http_server() = default;
 
-void http_server::listen(asio::ip::tcp::endpoint const& at)
+std::uint16_t http_server::listen(asio::ip::tcp::endpoint const& at)
 {
     acceptor_.open(at.protocol());
     acceptor_.set_option(asio::socket_base::reuse_address(true));
     acceptor_.bind(at);
     acceptor_.listen();
     accept();
+    return acceptor_.local_endpoint().port();
 }
 
 void http_server::accept()
@@ -37,15 +39,25 @@
             }
             if (!failed)
             {
-                auto connection = std::make_shared<server_connection>(
-                    *this, std::move(socket));
-                connections_.emplace(connection.get(), connection);
-                connection->start();
+                admit(std::move(socket));
             }
             accept();
         });
 }
 
+void http_server::admit(asio::ip::tcp::socket socket)
+{
+    bool const full = connections_.size() >= limits_.connections;
+    auto connection =
+        std::make_shared<server_connection>(*this, std::move(socket));
+    connections_.emplace(connection.get(), connection);
+    connection->start();
+    if (full)
+    {
+        connection->refuse(error_kind::overloaded);
+    }
+}
+
 void http_server::stop_listening()
 {
     asio::error_code ignored;
@@ -75,9 +87,18 @@
     }
 }
 
+std::size_t http_server::unfinished() const
+{
+    return exchanges_.size() +
+           static_cast<std::size_t>(std::count_if(
+               connections_.begin(), connections_.end(),
+               [](auto const& entry) { return entry.second->is_writing(); }));
+}
+
 void http_server::close_all()
 {
-    for (auto const& [raw, connection] : connections_)
+    auto const connections = connections_;
+    for (auto const& [raw, connection] : connections)
     {
         connection->close();
     }
--- a/eventloop/src/message_reader.cpp
+++ b/eventloop/src/message_reader.cpp
@@ -182,6 +182,11 @@
     auto* r = self(p);
     if (r->in_value_ || r->message_.headers.empty())
     {
+        if (r->message_.headers.size() >= r->line_limit_)
+        {
+            r->state_ = progress::headers_too_large;
+            return 1;
+        }
         r->message_.headers.emplace_back();
         r->in_value_ = false;
     }
--- a/eventloop/src/upstream_pool.cpp
+++ b/eventloop/src/upstream_pool.cpp
@@ -21,6 +21,8 @@
 /// A request that must not be repeated goes out only on a connection that was
 /// in use within this share of its idle time: the target may be closing it.
 constexpr int fresh_share = 4;
+/// Pause between two tries to open a connection ahead of need.
+constexpr duration warm_up_pause = 500ms;
 
 using state = upstream_connection::state;
 
@@ -31,6 +33,11 @@
     std::shared_ptr<serving::target> to;
     std::vector<std::shared_ptr<upstream_connection>> connections;
     std::deque<order_state> waiting;
+    std::size_t warm = 0;                             ///< connections kept open
+    std::size_t limit = static_cast<std::size_t>(-1); ///< idle ones beyond it
+                                                      ///< are closed
+    time_point next_warm_up{};
+    bool loss_told = false;
 };
 
 upstream_pool::upstream_pool(asio::io_context& loop, clock const& time,
@@ -43,15 +50,16 @@
 
 upstream_pool::~upstream_pool() = default;
 
-void upstream_pool::start(serving::attempt_order const& order, bool no_body)
+upstream_pool::lane&
+upstream_pool::lane_to(std::shared_ptr<serving::target> const& to)
 {
-    auto& entry = lanes_[order.to->record.id];
+    auto& entry = lanes_[to->record.id];
     if (!entry)
     {
         entry = std::make_unique<lane>();
     }
     lane& l = *entry;
-    if (l.to != order.to)
+    if (l.to != to)
     {
         // Another incarnation: its connections lead elsewhere.
         auto const old = l.connections;
@@ -62,8 +70,14 @@
                 c->close();
             }
         }
-        l.to = order.to;
+        l.to = to;
     }
+    return l;
+}
+
+void upstream_pool::start(serving::attempt_order const& order, bool no_body)
+{
+    lane& l = lane_to(order.to);
     auto const limit = static_cast<std::size_t>(order.connection_limit);
     if (l.waiting.size() >= limit * waiting_per_connection)
     {
@@ -116,38 +130,90 @@
         }
         order_state order = std::move(first);
         l.waiting.pop_front();
-        auto connection = std::make_shared<upstream_connection>(
-            *this, order.order.to->record.id);
-        l.connections.push_back(connection);
-        ++opened_;
+        open(l, std::move(order));
+    }
+}
+
+void upstream_pool::open(lane& l, order_state order)
+{
+    auto connection =
+        std::make_shared<upstream_connection>(*this, l.to->record.id);
+    l.connections.push_back(connection);
+    ++opened_;
+    auto const address = parse_endpoint(l.to->record.address);
+    if (order.order.to)
+    {
         on_[order.order.attempt] = connection.get();
-        auto const address = parse_endpoint(order.order.to->record.address);
         connection->connect(address, std::move(order));
     }
+    else
+    {
+        connection->connect(address, std::nullopt);
+    }
 }
 
-void upstream_pool::abandon(serving::attempt_handle attempt)
+void upstream_pool::keep(std::shared_ptr<serving::target> const& to,
+                         std::size_t limit, std::size_t warm)
 {
-    auto const found = on_.find(attempt);
-    if (found != on_.end())
+    lane& l = lane_to(to);
+    l.limit = limit;
+    l.warm = std::min(warm, limit);
+    tend(l);
+}
+
+void upstream_pool::tend(lane& l)
+{
+    auto const connections = l.connections;
+    for (auto const& c : connections)
     {
-        upstream_connection* connection = found->second;
-        if (connection->withdraw())
+        if (l.connections.size() > l.limit && c->now() == state::idle)
         {
-            finish_later(attempt, "");
-            return;
+            c->close();
         }
-        // Called from within the engine: the end is reported later.
-        auto const keep = connection->shared_from_this();
-        on_.erase(found);
-        keep->close();
-        asio::post(loop_,
-                   [this, attempt] {
-                       client_.on_end(attempt, send_outcome::broken, nullptr,
-                                      "broken off");
-                   });
+    }
+    time_point const now = time_.now();
+    if (l.connections.size() >= l.warm || now < l.next_warm_up)
+    {
         return;
     }
+    l.next_warm_up = now + warm_up_pause;
+    while (l.connections.size() < l.warm)
+    {
+        open(l, {});
+    }
+}
+
+void upstream_pool::lost(std::string const& lane)
+{
+    auto const found = lanes_.find(lane);
+    if (found != lanes_.end() && !found->second->loss_told)
+    {
+        found->second->loss_told = true;
+        auto const to = found->second->to;
+        client_.on_connection_lost(*to);
+    }
+}
+
+void upstream_pool::stands(std::string const& lane)
+{
+    auto const found = lanes_.find(lane);
+    if (found != lanes_.end())
+    {
+        found->second->loss_told = false;
+    }
+}
+
+bool upstream_pool::withdraw(serving::attempt_handle attempt)
+{
+    if (auto const found = on_.find(attempt); found != on_.end())
+    {
+        if (!found->second->withdraw())
+        {
+            return false;
+        }
+        finish_later(attempt, "");
+        return true;
+    }
     for (auto const& [id, l] : lanes_)
     {
         auto const waiting = std::find_if(
@@ -157,8 +223,59 @@
         {
             l->waiting.erase(waiting);
             finish_later(attempt, "");
-            return;
+            return true;
+        }
+    }
+    return false;
+}
+
+void upstream_pool::abandon(serving::attempt_handle attempt)
+{
+    if (withdraw(attempt))
+    {
+        return;
+    }
+    auto const found = on_.find(attempt);
+    if (found == on_.end())
+    {
+        return;
+    }
+    // Called from within the engine: the end is reported later.
+    auto const connection = found->second->shared_from_this();
+    on_.erase(found);
+    connection->close();
+    asio::post(loop_,
+               [this, attempt] {
+                   client_.on_end(attempt, send_outcome::broken, nullptr,
+                                  "broken off");
+               });
+}
+
+void upstream_pool::close_all()
+{
+    std::vector<serving::attempt_handle> attempts;
+    std::vector<std::shared_ptr<upstream_connection>> connections;
+    for (auto const& [id, l] : lanes_)
+    {
+        l->warm = 0;
+        for (auto const& o : l->waiting)
+        {
+            attempts.push_back(o.order.attempt);
         }
+        connections.insert(connections.end(), l->connections.begin(),
+                           l->connections.end());
+    }
+    for (auto const& [attempt, connection] : on_)
+    {
+        attempts.push_back(attempt);
+    }
+    for (auto const attempt : attempts)
+    {
+        abandon(attempt);
+    }
+    for (auto const& c : connections)
+    {
+        c->close();
     }
 }
 
@@ -212,11 +329,13 @@
                 c->expire();
             }
         }
+        tend(l);
         if (!l.waiting.empty())
         {
             dispatch(l);
         }
-        bool const empty = l.connections.empty() && l.waiting.empty();
+        bool const empty =
+            l.connections.empty() && l.waiting.empty() && l.warm == 0;
         it = empty ? lanes_.erase(it) : std::next(it);
     }
 }
--- a/eventloop/tests/http_server_test.cpp
+++ b/eventloop/tests/http_server_test.cpp
@@ -29,6 +29,10 @@
         limits.body_bytes = 100;
         limits.header_timeout = 60ms;
         limits.idle_timeout = 150ms;
+        limits.message_timeout = 120ms;
+        limits.write_timeout = 100ms;
+        limits.header_lines = 8;
+        limits.connections = 3;
         server.set_limits(limits);
         asio::ip::tcp::acceptor free_port(
             loop, {asio::ip::make_address("127.0.0.1"), 0});
@@ -148,11 +152,25 @@
         c.send("POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" +
                std::string(1000, 'x'));
     }
+    SECTION("too many headers")
+    {
+        c.send("GET / HTTP/1.1\r\na:1\r\nb:1\r\nc:1\r\nd:1\r\ne:1\r\nf:1\r\ng:1"
+               "\r\nh:1\r\ni:1\r\n\r\n");
+    }
     SECTION("a slow head")
     {
         c.send("GET / HTT");
         f.run(80);
     }
+    SECTION("a body that trickles")
+    {
+        c.send("POST / HTTP/1.1\r\nContent-Length: 90\r\n\r\n");
+        for (int i = 0; i < 8; ++i)
+        {
+            c.send("x");
+            f.run(20);
+        }
+    }
     c.receive_until(f.loop, "400");
     f.run(30);
     c.take();
@@ -216,6 +234,52 @@
     CHECK(c.received() == ok(body));
 }
 
+TEST_CASE("beyond the bound a connection is refused, the others go on")
+{
+    fixture f;
+    auto first = f.client();
+    auto second = f.client();
+    auto third = f.client();
+    f.run(5);
+    auto fourth = f.client();
+    fourth.receive_until(f.loop, "400");
+    CHECK(f.rejected == std::vector<error_kind>{error_kind::overloaded});
+    first.send("GET /1 HTTP/1.1\r\n\r\n");
+    first.receive_until(f.loop, "/1");
+    CHECK(f.targets.size() == 1);
+}
+
+TEST_CASE("an answer counts as unfinished until the socket has taken it")
+{
+    fixture f;
+    f.answers_at_once = false;
+    auto c = f.client();
+    c.send("GET /1 HTTP/1.1\r\n\r\n");
+    f.run(10);
+    CHECK(f.server.unfinished() == 1);
+    std::string const body(8'000'000, 'b');
+    f.server.respond(f.open, ok(body), false);
+    f.run(5);
+    CHECK(f.server.open_exchanges() == 0);
+    CHECK(f.server.unfinished() == 1);
+    SECTION("a client that reads gets it whole")
+    {
+        for (int i = 0; i < 2000 && c.received().size() < body.size(); ++i)
+        {
+            f.run(1);
+            c.take();
+        }
+        CHECK(c.received() == ok(body));
+        CHECK(f.server.unfinished() == 0);
+    }
+    SECTION("a client that does not read is cut in the end")
+    {
+        f.run(150);
+        CHECK(f.server.unfinished() == 0);
+        CHECK(f.server.connections() == 0);
+    }
+}
+
 TEST_CASE("when the server is closing, answers end their connections")
 {
     fixture f;
--- a/host/src/front_bytes.cpp
+++ b/host/src/front_bytes.cpp
@@ -2,9 +2,9 @@
 #include "front_exchange.hpp"
 #include "text_number.hpp"
 #include <base/error_answer.hpp>
+#include <eventloop/http_answer.hpp>
 #include <eventloop/http_message.hpp>
 #include <fmt/format.h>
-#include <http_parser.h>
 
 namespace kumquatramp::host
 {
@@ -33,11 +33,6 @@
     return *running + *waiting;
 }
 
-std::string_view reason(int status)
-{
-    return http_status_str(static_cast<http_status>(status));
-}
-
 } // namespace
 
 std::string front_service::error_bytes(error_kind kind,
@@ -45,25 +40,12 @@
                                        bool close) const
 {
     error_answer const& row = answer_of(kind);
-    std::string const body =
-        fmt::format(R"({{"error":"{}","run":"{}","text":"{}"}})", row.code,
-                    to_string(row.state), row.text);
-    std::string bytes =
-        fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
-                    "Content-Length: {}\r\n",
-                    row.http_status, reason(row.http_status), body.size());
-    if (retry_after)
-    {
-        fmt::format_to(std::back_inserter(bytes), "Retry-After: {:.3f}\r\n",
-                       std::chrono::duration<double>(*retry_after).count());
-    }
-    if (close || server_.closing())
-    {
-        bytes += "Connection: close\r\n";
-    }
-    bytes += "\r\n";
-    bytes += body;
-    return bytes;
+    return eventloop::serialize(
+        {.status = row.http_status,
+         .body = fmt::format(R"({{"error":"{}","run":"{}","text":"{}"}})",
+                             row.code, to_string(row.state), row.text),
+         .retry_after = retry_after,
+         .close = close || server_.closing()});
 }
 
 serving::target_reply front_service::read_reply(eventloop::send_outcome outcome,
@@ -72,12 +54,12 @@
 {
     serving::target_reply reply;
     reply.cause = cause;
-    if (outcome == eventloop::send_outcome::not_sent)
+    if (eventloop::certainly_unsent(outcome))
     {
         reply.kind = serving::reply_kind::not_sent;
         return reply;
     }
-    if (outcome == eventloop::send_outcome::broken)
+    if (outcome != eventloop::send_outcome::answered)
     {
         return reply;
     }
@@ -108,8 +90,8 @@
 std::string front_service::relayed_bytes(exchange_state const& exchange)
 {
     http_message const& answer = *present_answer_;
-    std::string bytes =
-        fmt::format("HTTP/1.1 {} {}\r\n", answer.status, reason(answer.status));
+    std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", answer.status,
+                                    eventloop::reason_of(answer.status));
     std::string_view const connection = answer.header("Connection");
     for (auto const& line : answer.headers)
     {
--- a/tools/kumquatrampd/entry_host.cpp
+++ b/tools/kumquatrampd/entry_host.cpp
@@ -5,16 +5,16 @@
 #include <asio/signal_set.hpp>
 #include <base/seeded_random.hpp>
 #include <csignal>
+#include <eventloop/boot_clock.hpp>
 #include <random>
 #include <signing/signer.hpp>
 #include <thread>
 #include <transport/admin_routes.hpp>
-#include <transport/caller_routes.hpp>
+#include <transport/admin_server.hpp>
+#include <transport/caller_port.hpp>
 #include <transport/event_log.hpp>
-#include <transport/http_server.hpp>
 #include <transport/node_driver.hpp>
 #include <transport/peer_server.hpp>
-#include <transport/steady_clock_source.hpp>
 #include <utility>
 
 namespace kumquatramp
@@ -29,9 +29,9 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
-http_server_options admin_options()
+port_options admin_options()
 {
-    http_server_options options;
+    port_options options;
     options.workers = 4;
     options.max_queued = 32;
     options.max_connections = 64;
@@ -47,26 +47,25 @@
         , random(draw_seed())
         , key(settings.node.fleet_key)
         , driver(settings.node, settings.platform,
-                 {timer_io, time, random, key, *log})
+                 {loop, time, random, key, *log})
         , peers(peer_io, key, driver)
-        , callers(settings.caller_port, time)
+        , callers(loop, time, settings.caller_port, driver)
         , admin(admin_options(), time)
-        , watch(timer_io, driver, *log)
+        , watch(loop, driver, *log)
     {
-        add_caller_routes(callers.routes(), driver);
         add_admin_routes(admin.routes(), driver);
     }
 
-    steady_clock_source time;
-    asio::io_context timer_io{1};
+    eventloop::boot_clock time;
+    asio::io_context loop{1};
     asio::io_context peer_io{1};
     std::unique_ptr<event_log> log;
     seeded_random random;
     signer key;
     node_driver driver;
     peer_server peers;
-    http_server callers;
-    http_server admin;
+    caller_port callers;
+    admin_server admin;
     status_watch watch;
 };
 
@@ -110,7 +109,7 @@
 {
     auto& p = *parts_;
     int code = 0;
-    asio::signal_set signals(p.timer_io, SIGTERM, SIGINT);
+    asio::signal_set signals(p.loop, SIGTERM, SIGINT);
     std::function<void(asio::error_code, int)> const on_signal =
         [&](asio::error_code ec, int number)
     {
@@ -126,7 +125,7 @@
                 if (!second)
                 {
                     code = 1;
-                    p.timer_io.stop();
+                    p.loop.stop();
                 }
             });
     };
@@ -137,15 +136,14 @@
                  {{"callers", to_string(settings_.callers)},
                   {"admin", to_string(settings_.admin)},
                   {"peers", to_string(settings_.peers)}});
-    p.driver.start([&p] { p.timer_io.stop(); });
+    p.driver.start([&p] { p.callers.stop([&p] { p.loop.stop(); }); });
     p.watch.start();
-    p.timer_io.run();
+    p.loop.run();
     if (code != 0)
     {
         p.log->write(log_level::warning, "stopped_at_once", {});
         std::_Exit(code);
     }
-    p.callers.stop();
     p.admin.stop();
     p.peers.stop();
     p.driver.stop();
--- a/transport/include/transport/http_server.hpp
+++ b/transport/include/transport/admin_server.hpp
@@ -1,14 +1,14 @@
-// cpp-httplib's server with bounds on everything.
-#ifndef KUMQUATRAMP_TRANSPORT_HTTP_SERVER_HPP
-#define KUMQUATRAMP_TRANSPORT_HTTP_SERVER_HPP
+// The operators' port: cpp-httplib's server with bounds on everything.
+#ifndef KUMQUATRAMP_TRANSPORT_ADMIN_SERVER_HPP
+#define KUMQUATRAMP_TRANSPORT_ADMIN_SERVER_HPP
 
 #include <atomic>
 #include <base/clock.hpp>
 #include <base/result.hpp>
 #include <httplib.h>
 #include <thread>
-#include <transport/http_server_options.hpp>
 #include <transport/idle_sockets.hpp>
+#include <transport/port_options.hpp>
 #include <transport/socket_address.hpp>
 #include <transport/worker_pool.hpp>
 
@@ -19,12 +19,12 @@
 /// is held for one request only, idle connections wait without a thread, and
 /// past a bound a connection gets a refusal at once. Routes are added to
 /// routes() before start().
-class http_server final : private httplib::Server
+class admin_server final : private httplib::Server
 {
 public:
     /// `time` must outlive the server.
-    http_server(http_server_options options, clock const& time);
-    ~http_server() override;
+    admin_server(port_options options, clock const& time);
+    ~admin_server() override;
 
     /// For Get(), Post() and Delete(), before start().
     httplib::Server& routes() { return *this; }
@@ -37,14 +37,10 @@
     /// be answered.
     void stop();
 
-    /// The socket that a request came over, to see whether its caller is
-    /// still there.
-    static int socket_of(httplib::Request const& request);
-
+private:
     /// Whether the other side has closed the connection.
     static bool is_closed(int socket);
 
-private:
     bool process_and_close_socket(socket_t socket) override;
     void enqueue(int socket);
     void serve(int socket);
@@ -53,7 +49,7 @@
     void close_connection(int socket);
     void on_idle_end(int socket, bool ready);
 
-    http_server_options const options_;
+    port_options const options_;
     clock const& time_;
     std::atomic<std::uint32_t> connections_{0};
     std::atomic<bool> stopping_{false};
--- /dev/null
+++ b/transport/include/transport/caller_port.hpp
@@ -0,0 +1,93 @@
+// The callers' HTTP interface, on the event loop.
+#ifndef KUMQUATRAMP_TRANSPORT_CALLER_PORT_HPP
+#define KUMQUATRAMP_TRANSPORT_CALLER_PORT_HPP
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <base/clock.hpp>
+#include <base/ids.hpp>
+#include <base/result.hpp>
+#include <eventloop/http_server.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <transport/port_options.hpp>
+#include <transport/socket_address.hpp>
+#include <unordered_map>
+
+namespace kumquatramp
+{
+
+class caller_service;
+struct caller_request;
+struct error;
+struct request_answer;
+
+/// Answers the calls that docs/PROTOCOLS.md gives for callers. Everything
+/// happens on the loop's thread.
+///
+///     caller_port port(loop, time, options, service);
+///     auto const bound = port.start({"10.0.0.5", 8001});
+class caller_port final : private eventloop::request_handler
+{
+public:
+    /// All references must outlive the port.
+    caller_port(asio::io_context& loop, clock const& time, port_options options,
+                caller_service& service);
+    ~caller_port() override;
+
+    /// Binds and serves; gives the port. invalid_configuration if the
+    /// address cannot be bound.
+    result<std::uint16_t> start(socket_address const& address);
+
+    /// Takes no new connections and calls `done` once what has been read is
+    /// answered and written, at the latest after the write timeout.
+    void stop(std::function<void()> done);
+
+private:
+    using exchange = eventloop::exchange_id;
+    using message = eventloop::http_message;
+
+    // eventloop::request_handler
+    void on_request(exchange at, message& request) override;
+    void on_client_gone(exchange at) override;
+    std::string rejection(error_kind kind) override;
+
+    void answer_query(exchange at, message& request, std::string_view name);
+    void answer_once(exchange at, message& request, std::string_view name);
+    void answer_outcome(exchange at, message const& request,
+                        std::string_view id, bool cancel);
+    void answer_new_id(exchange at, message const& request);
+    void answer_hosts(exchange at, message const& request);
+    void run(exchange at, caller_request wanted, std::string const& trace,
+             std::string request_id);
+    void finish(exchange at, std::string const& trace,
+                request_answer const& answer);
+    std::string trace_of(message const& request);
+
+    void respond(exchange at, int status, std::string body,
+                 std::optional<duration> retry_after = std::nullopt);
+    void refuse(exchange at, std::string_view trace, error const& fault);
+    void tend();
+    bool is_drained() const;
+
+    port_options const options_;
+    clock const& time_;
+    caller_service& service_;
+    eventloop::http_server server_;
+    asio::steady_timer sweep_;
+    /// Requests that the service is running; the id is empty for queries.
+    struct running
+    {
+        query_number number;
+        std::string request_id;
+    };
+    std::unordered_map<exchange, running> running_;
+    std::function<void()> on_stopped_;
+    time_point stop_by_ = never;
+};
+
+} // namespace kumquatramp
+
+#endif
--- a/transport/include/transport/caller_service.hpp
+++ b/transport/include/transport/caller_service.hpp
@@ -14,19 +14,26 @@
 namespace kumquatramp
 {
 
-/// Safe from any thread.
+/// Used by the callers' port and, but for run(), by the operators' one: safe
+/// from any thread.
 class caller_service
 {
 public:
+    using answer_handler = std::function<void(request_answer const&)>;
+
     caller_service() = default;
     caller_service(caller_service const&) = delete;
     caller_service& operator=(caller_service const&) = delete;
     virtual ~caller_service() = default;
 
-    /// Runs a request and waits for its answer; `gone` is polled to see
-    /// whether the caller has left. The request's number is chosen here.
-    virtual request_answer run(caller_request request, std::string trace,
-                               std::function<bool()> const& gone) = 0;
+    /// Runs a request under a number that is chosen here. `done` is called
+    /// once, on the loop, after this call has returned.
+    virtual query_number run(caller_request request, std::string trace,
+                             answer_handler done) = 0;
+
+    /// The caller has left. A query is withdrawn; a non-idempotent request
+    /// goes on, since its caller can come back and ask for its outcome.
+    virtual void caller_left(query_number number) = 0;
 
     virtual result<std::string> issue_request_id() = 0;
 
--- a/transport/include/transport/daemon_settings.hpp
+++ b/transport/include/transport/daemon_settings.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 #include <transport/event_log.hpp>
-#include <transport/http_server_options.hpp>
+#include <transport/port_options.hpp>
 #include <transport/socket_address.hpp>
 #include <vector>
 
@@ -22,7 +22,7 @@
     socket_address peers;
     socket_address admin;
     socket_address platform;
-    http_server_options caller_port;
+    port_options caller_port;
     log_level level = log_level::info;
     std::string log_file; ///< empty for stderr
 };
--- a/transport/include/transport/error_body.hpp
+++ b/transport/include/transport/error_body.hpp
@@ -1,10 +1,10 @@
-// The one shape of refusals over HTTP.
+// The one shape of refusals.
 #ifndef KUMQUATRAMP_TRANSPORT_ERROR_BODY_HPP
 #define KUMQUATRAMP_TRANSPORT_ERROR_BODY_HPP
 
 #include <base/error.hpp>
 #include <base/error_answer.hpp>
-#include <httplib.h>
+#include <base/time.hpp>
 #include <string>
 #include <string_view>
 
@@ -16,14 +16,8 @@
 std::string error_body(std::string_view trace, error const& fault,
                        run_state state);
 
-/// Writes status, Retry-After and body of a refusal.
-void write_error(httplib::Response& response, std::string_view trace,
-                 error const& fault);
-void write_error(httplib::Response& response, std::string_view trace,
-                 error const& fault, run_state state);
-
-/// Writes a 200 with a JSON body.
-void write_json(httplib::Response& response, std::string const& body);
+/// After which a caller that was refused may come back.
+constexpr duration refused_retry_after = 1s;
 
 } // namespace kumquatramp
 
--- a/transport/include/transport/json_text.hpp
+++ b/transport/include/transport/json_text.hpp
@@ -19,11 +19,6 @@
 /// The text as a JSON string, quotes included.
 std::string quote_json(std::string_view text);
 
-/// The text between the brackets of the array `value[name]`, which must
-/// have been read from `text`; nothing if there is no such array.
-std::optional<std::string_view>
-array_text(Json::Value const& value, char const* name, std::string_view text);
-
 } // namespace kumquatramp
 
 #endif
--- a/transport/include/transport/node_driver.hpp
+++ b/transport/include/transport/node_driver.hpp
@@ -28,7 +28,7 @@
 /// What a driver works with; all must outlive it.
 struct driver_context
 {
-    asio::io_context& io; ///< runs the timer, on one thread
+    asio::io_context& io; ///< timer, callers and targets, on one thread
     clock const& time;
     random_source& random;
     signer const& key;
@@ -54,7 +54,8 @@
     /// Begins a graceful shutdown.
     void shut_down();
 
-    /// Cuts all connections and joins all threads of the clients.
+    /// Cuts all connections and joins the threads that read from the
+    /// platform and from peers.
     void stop();
 
     node const& decisions() const { return node_; }
@@ -62,8 +63,9 @@
     time_point now() const { return context_.time.now(); }
 
     // caller_service
-    request_answer run(caller_request request, std::string trace,
-                       std::function<bool()> const& gone) override;
+    query_number run(caller_request request, std::string trace,
+                     answer_handler done) override;
+    void caller_left(query_number number) override;
     result<std::string> issue_request_id() override;
     result<request_id> decode_request_id(std::string_view text) override;
     result<request_outcome> outcome_of(request_id const& id) override;
@@ -114,8 +116,7 @@
     void arm();
     void set_timer(time_point due);
     void tick();
-    void note(std::string const& trace, caller_request const& request,
-              request_answer const& answer, duration elapsed);
+    void note(waiting_call const& call, request_answer const& answer);
 
     driver_context const context_;
     duration const id_lifetime_;
--- a/transport/include/transport/http_server_options.hpp
+++ b/transport/include/transport/port_options.hpp
@@ -1,6 +1,6 @@
-// Bounds of an HTTP server.
-#ifndef KUMQUATRAMP_TRANSPORT_HTTP_SERVER_OPTIONS_HPP
-#define KUMQUATRAMP_TRANSPORT_HTTP_SERVER_OPTIONS_HPP
+// Bounds of an HTTP port.
+#ifndef KUMQUATRAMP_TRANSPORT_PORT_OPTIONS_HPP
+#define KUMQUATRAMP_TRANSPORT_PORT_OPTIONS_HPP
 
 #include <base/time.hpp>
 #include <cstddef>
@@ -10,10 +10,12 @@
 namespace kumquatramp
 {
 
-struct http_server_options
+struct port_options
 {
-    std::uint32_t workers = 64;           ///< requests served at once
-    std::uint32_t max_queued = 128;       ///< requests that wait for a worker
+    /// Requests served at once, and those that may wait beside them. The
+    /// callers' port has no threads of its own and bounds their sum.
+    std::uint32_t workers = 64;
+    std::uint32_t max_queued = 128;
     std::uint32_t max_connections = 1024; ///< open ones, idle ones included
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
     stream_limits limits;
--- a/transport/include/transport/socket_stream.hpp
+++ b/transport/include/transport/socket_stream.hpp
@@ -2,11 +2,9 @@
 #ifndef KUMQUATRAMP_TRANSPORT_SOCKET_STREAM_HPP
 #define KUMQUATRAMP_TRANSPORT_SOCKET_STREAM_HPP
 
-#include <atomic>
 #include <base/clock.hpp>
 #include <base/time.hpp>
 #include <cstddef>
-#include <functional>
 #include <httplib.h>
 #include <string>
 #include <transport/stream_limits.hpp>
@@ -22,32 +20,21 @@
     closed,    ///< the other side closed or reset the connection
     timed_out, ///< the deadline passed
     too_large, ///< more bytes came than the limits allow
-    withheld,  ///< the send gate said no; no byte has left
 };
 
 /// One HTTP exchange over a non-blocking socket that it does not own. Unlike
 /// the library's own stream it has one deadline for the whole exchange, so
-/// that a peer that trickles bytes is cut; it bounds head and body; it counts
-/// what left and what came; and it holds written bytes back until the
-/// message is whole, then asks the send gate directly before the first byte.
+/// that a peer that trickles bytes is cut; it bounds head and body; and it
+/// holds written bytes back until the message is whole.
 class socket_stream final : public httplib::Stream
 {
 public:
-    /// `wake` is an eventfd that interrupts a wait, or -1. `time` must
-    /// outlive the stream.
-    socket_stream(int socket, int wake, clock const& time,
-                  stream_limits limits);
+    /// `time` must outlive the stream.
+    socket_stream(int socket, clock const& time, stream_limits limits);
 
-    /// Starts an exchange: counts go to zero, received bytes are kept.
+    /// Starts an exchange; received bytes are kept.
     void begin(time_point deadline);
 
-    /// Asked once, directly before the exchange's first byte leaves.
-    void set_send_gate(std::function<bool()> gate);
-
-    /// Moves the deadline forward; from any thread. The caller then writes
-    /// to the eventfd, so that a wait in progress notices.
-    void shorten_deadline(time_point deadline);
-
     /// Sends what has been written; false if that failed. Reads do so by
     /// themselves.
     bool flush();
@@ -59,8 +46,6 @@
     /// Whether received bytes wait that nobody has read.
     bool has_unread() const noexcept { return position_ < buffer_.size(); }
 
-    std::size_t bytes_sent() const noexcept { return sent_; }
-    std::size_t bytes_received() const noexcept { return received_; }
     stream_end end() const noexcept { return end_; }
 
     // httplib::Stream
@@ -79,16 +64,12 @@
     bool within_limits(char const* data, std::size_t size);
 
     int const socket_;
-    int const wake_;
     clock const& time_;
     stream_limits const limits_;
-    std::function<bool()> gate_;
-    std::atomic<time_point::rep> deadline_{0};
+    time_point deadline_{};
     std::vector<char> buffer_; // received; read up to position_
     std::size_t position_ = 0;
-    std::string pending_; // written, not sent yet
-    std::size_t sent_ = 0;
-    std::size_t received_ = 0;
+    std::string pending_;         // written, not sent yet
     std::size_t delivered_ = 0;   // bytes read in this exchange
     std::size_t line_length_ = 0; // of the head line being read
     std::size_t head_lines_ = 0;
--- a/transport/src/admin_routes.cpp
+++ b/transport/src/admin_routes.cpp
@@ -1,13 +1,13 @@
 // Status, burn, metrics and rules check.
+#include <base/error_answer.hpp>
 #include <burn/burn_ledger.hpp>
 #include <burn/render_burn.hpp>
+#include <details/library_answer.hpp>
 #include <details/status_body.hpp>
 #include <httplib.h>
 #include <rules/parse_rules.hpp>
 #include <rules/ruleset.hpp>
 #include <transport/admin_routes.hpp>
-#include <transport/caller_routes.hpp>
-#include <transport/error_body.hpp>
 #include <transport/json_text.hpp>
 #include <transport/node_driver.hpp>
 
@@ -70,6 +70,22 @@
     }
 }
 
+void add_health_routes(httplib::Server& server, node_driver& driver)
+{
+    server.Get("/healthz", [](Request const&, Response& response)
+               { write_json(response, R"({"status":"ok"})"); });
+    server.Get("/readyz",
+               [&driver](Request const&, Response& response)
+               {
+                   bool const ready = driver.ready();
+                   write_json(response, ready ? R"({"status":"ok"})"
+                                              : R"({"status":"not ready"})");
+                   response.status =
+                       ready ? response.status
+                             : answer_of(error_kind::not_ready).http_status;
+               });
+}
+
 } // namespace
 
 void add_admin_routes(httplib::Server& server, node_driver& driver)
--- a/transport/src/http_server.cpp
+++ b/transport/src/admin_server.cpp
@@ -1,13 +1,13 @@
-// Connections of the HTTP server: accept, serve, park, refuse.
+// Connections of the operators' port: accept, serve, park, refuse.
 #include <array>
 #include <cerrno>
-#include <charconv>
+#include <details/library_answer.hpp>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <transport/admin_server.hpp>
 #include <transport/error_body.hpp>
-#include <transport/http_server.hpp>
 #include <transport/socket_stream.hpp>
 #include <unistd.h>
 #include <utility>
@@ -18,7 +18,6 @@
 namespace
 {
 
-constexpr char const* socket_header = "Kumquatramp-Socket";
 constexpr int http_bad_request = 400;
 constexpr int http_not_found = 404;
 constexpr int http_too_large = 413;
@@ -53,7 +52,7 @@
     if (response.body.empty())
     {
         auto const status = response.status;
-        write_error(response, "", {kind_of_status(status), ""});
+        write_error(response, {kind_of_status(status), ""});
         response.status = status;
     }
 }
@@ -69,7 +68,7 @@
 
 } // namespace
 
-http_server::http_server(http_server_options options, clock const& time)
+admin_server::admin_server(port_options options, clock const& time)
     : options_(options)
     , time_(time)
     , workers_(options.workers, options.max_queued)
@@ -88,7 +87,7 @@
     set_exception_handler(
         [](httplib::Request const&, httplib::Response& response,
            std::exception_ptr const&) {
-            write_error(response, "", {error_kind::internal, ""});
+            write_error(response, {error_kind::internal, ""});
         });
     // The library sets SO_REUSEPORT by default, which would hide that
     // another process has the port.
@@ -100,12 +99,12 @@
         });
 }
 
-http_server::~http_server()
+admin_server::~admin_server()
 {
     stop();
 }
 
-result<std::uint16_t> http_server::start(socket_address const& address)
+result<std::uint16_t> admin_server::start(socket_address const& address)
 {
     int port = address.port;
     errno = 0;
@@ -128,7 +127,7 @@
     return static_cast<std::uint16_t>(port);
 }
 
-void http_server::stop()
+void admin_server::stop()
 {
     if (stopping_.exchange(true))
     {
@@ -147,7 +146,7 @@
     workers_.stop();
 }
 
-bool http_server::process_and_close_socket(socket_t socket)
+bool admin_server::process_and_close_socket(socket_t socket)
 {
     ++connections_;
     int const on = 1;
@@ -162,7 +161,7 @@
     return true;
 }
 
-void http_server::on_idle_end(int socket, bool ready)
+void admin_server::on_idle_end(int socket, bool ready)
 {
     if (!ready || is_closed(socket))
     {
@@ -172,7 +171,7 @@
     enqueue(socket);
 }
 
-void http_server::enqueue(int socket)
+void admin_server::enqueue(int socket)
 {
     if (!workers_.try_post([this, socket] { serve(socket); }))
     {
@@ -180,9 +179,9 @@
     }
 }
 
-void http_server::serve(int socket)
+void admin_server::serve(int socket)
 {
-    socket_stream stream(socket, -1, time_, options_.limits);
+    socket_stream stream(socket, time_, options_.limits);
     do
     {
         if (!serve_one(stream))
@@ -200,16 +199,11 @@
 }
 
 // False if the connection is to be closed.
-bool http_server::serve_one(socket_stream& stream)
+bool admin_server::serve_one(socket_stream& stream)
 {
     stream.begin(time_.now() + options_.receive_timeout);
     bool closed = false;
-    auto const note_socket = [&stream](httplib::Request& request)
-    {
-        request.headers.erase(socket_header);
-        request.set_header(socket_header, std::to_string(stream.socket()));
-    };
-    bool const served = process_request(stream, stopping_, closed, note_socket);
+    bool const served = process_request(stream, stopping_, closed, nullptr);
     bool const received_whole = stream.end() == stream_end::none;
     if (stream.end() == stream_end::closed ||
         stream.end() == stream_end::timed_out)
@@ -222,7 +216,7 @@
 }
 
 // Answers without a thread; what the caller sends is not read.
-void http_server::refuse(int socket)
+void admin_server::refuse(int socket)
 {
     auto const answer = overload_answer();
     ::send(socket, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -234,23 +228,13 @@
     close_connection(socket);
 }
 
-void http_server::close_connection(int socket)
+void admin_server::close_connection(int socket)
 {
     ::close(socket);
     --connections_;
 }
 
-int http_server::socket_of(httplib::Request const& request)
-{
-    // The library's numeric get_header_value() exists for uint64_t only; for
-    // any other type it compiles to a function without a return.
-    auto const text = request.get_header_value(socket_header);
-    int socket = -1;
-    std::from_chars(text.data(), text.data() + text.size(), socket);
-    return socket;
-}
-
-bool http_server::is_closed(int socket)
+bool admin_server::is_closed(int socket)
 {
     char byte = 0;
     auto const count = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/transport/src/answer_body.cpp
+++ b/transport/src/answer_body.cpp
@@ -1,4 +1,5 @@
 // Writes answers as text; payloads go in as they came.
+#include <base/error_answer.hpp>
 #include <cstdio>
 #include <details/answer_body.hpp>
 #include <transport/json_text.hpp>
@@ -128,4 +129,20 @@
     return to_json_text(body);
 }
 
+std::string hosts_body(discovery_answer const& answer)
+{
+    Json::Value body;
+    body["hosts"] = Json::Value(Json::arrayValue);
+    for (auto const& host : answer.hosts)
+    {
+        Json::Value entry;
+        entry["name"] = host.name.value();
+        entry["availability_zone"] = host.zone.value();
+        entry["address"] = host.caller_address;
+        body["hosts"].append(entry);
+    }
+    body["lifetime_ms"] = static_cast<Json::Int64>(answer.lifetime / 1ms);
+    return to_json_text(body);
+}
+
 } // namespace kumquatramp
--- a/transport/src/details/answer_body.hpp
+++ b/transport/src/details/answer_body.hpp
@@ -2,6 +2,7 @@
 #ifndef KUMQUATRAMP_TRANSPORT_DETAILS_ANSWER_BODY_HPP
 #define KUMQUATRAMP_TRANSPORT_DETAILS_ANSWER_BODY_HPP
 
+#include <membership/discovery.hpp>
 #include <node/request_answer.hpp>
 #include <requests/request_outcome.hpp>
 #include <string>
@@ -21,6 +22,9 @@
 std::string ran_body(std::string_view trace, std::string_view id,
                      std::string_view result);
 
+/// Which hosts to use.
+std::string hosts_body(discovery_answer const& answer);
+
 } // namespace kumquatramp
 
 #endif
--- a/transport/src/json_text.cpp
+++ b/transport/src/json_text.cpp
@@ -56,21 +56,4 @@
     return Json::valueToQuotedString(std::string(text).c_str());
 }
 
-std::optional<std::string_view>
-array_text(Json::Value const& value, char const* name, std::string_view text)
-{
-    if (!value.isObject() || !value.isMember(name) || !value[name].isArray())
-    {
-        return std::nullopt;
-    }
-    auto const& array = value[name];
-    auto const first = static_cast<std::size_t>(array.getOffsetStart());
-    auto const limit = static_cast<std::size_t>(array.getOffsetLimit());
-    if (limit < first + 2 || limit > text.size())
-    {
-        return std::nullopt;
-    }
-    return text.substr(first + 1, limit - first - 2);
-}
-
 } // namespace kumquatramp
--- a/transport/src/node_driver.cpp
+++ b/transport/src/node_driver.cpp
@@ -20,7 +20,7 @@
     , timer_(context.io)
     , platform_(platform, *this, context.time)
     , peers_(context.key, context.random, *this, context.time)
-    , targets_(*this, context.time, context.io.get_executor())
+    , targets_(*this, context.time, context.io)
 {
 }
 
@@ -68,7 +68,7 @@
 void node_driver::carry_out(send_attempt& wanted)
 {
     auto const call = waiting_.find(wanted.id.query);
-    targets_.send(std::move(wanted), call ? call->trace() : std::string());
+    targets_.send(std::move(wanted), call ? call->trace : std::string());
 }
 
 void node_driver::carry_out(cancel_attempt& wanted)
@@ -78,10 +78,14 @@
 
 void node_driver::carry_out(answer_caller& wanted)
 {
-    if (auto const call = waiting_.take(wanted.number))
+    auto const call = waiting_.take(wanted.number);
+    if (!call)
     {
-        call->answer(std::move(wanted.answer));
+        return;
     }
+    note(*call, wanted.answer);
+    asio::post(context_.io, [call, answer = std::move(wanted.answer)]
+               { call->done(answer); });
 }
 
 void node_driver::carry_out(exchange_digest& wanted)
@@ -162,47 +166,46 @@
     feed([this](time_point now, action_list& out) { node_.tick(now, out); });
 }
 
-request_answer node_driver::run(caller_request request, std::string trace,
-                                std::function<bool()> const& gone)
+query_number node_driver::run(caller_request request, std::string trace,
+                              answer_handler done)
 {
-    auto const started = now();
-    request.number = query_number{next_number_++};
-    auto const number = request.number;
-    auto const call = std::make_shared<waiting_call>(trace, request.once);
-    auto const kept = request;
-    waiting_.add(number, call);
+    query_number const number{next_number_++};
+    request.number = number;
+    waiting_.add(number, std::make_shared<waiting_call const>(
+                             waiting_call{.trace = std::move(trace),
+                                          .service = request.service,
+                                          .caller = request.caller,
+                                          .once = request.once,
+                                          .started = now(),
+                                          .done = std::move(done)}));
     feed([&](time_point now, action_list& out)
          { node_.submit(std::move(request), now, out); });
-    bool withdrawn = false;
-    auto answer = call->wait(
-        [&]
-        {
-            // A non-idempotent request goes on: its caller can come back
-            // and ask for its outcome.
-            if (!withdrawn && !kept.once && gone())
-            {
-                withdrawn = true;
-                feed([&](time_point now, action_list& out)
-                     { node_.cancel(number, now, out); });
-            }
-        });
-    note(trace, kept, answer, now() - started);
-    return answer;
+    return number;
+}
+
+void node_driver::caller_left(query_number number)
+{
+    auto const call = waiting_.find(number);
+    if (call && !call->once)
+    {
+        feed([&](time_point now, action_list& out)
+             { node_.cancel(number, now, out); });
+    }
 }
 
-void node_driver::note(std::string const& trace, caller_request const& request,
-                       request_answer const& answer, duration elapsed)
+void node_driver::note(waiting_call const& call, request_answer const& answer)
 {
-    metrics_.record(request.service, answer, elapsed, now());
+    duration const elapsed = now() - call.started;
+    metrics_.record(call.service, answer, elapsed, now());
     bool const whole = !answer.failed && answer.coverage >= 1.0;
     auto const result = answer.failed ? answer_of(answer.failed->kind).code
                         : whole       ? std::string_view("whole")
                                       : std::string_view("partial");
     context_.log.write(
         whole ? log_level::debug : log_level::info, "request",
-        {{"trace", trace},
-         {"service", request.service.value()},
-         {"caller", request.caller.value()},
+        {{"trace", call.trace},
+         {"service", call.service.value()},
+         {"caller", call.caller.value()},
          {"result", result},
          {"state", answer.failed ? to_string(answer.state) : "ran"},
          {"coverage", answer.coverage},
@@ -270,7 +273,7 @@
     {
         auto const call = waiting_.find(reply.id.query);
         context_.log.write(log_level::debug, "attempt",
-                           {{"trace", call ? call->trace() : std::string()},
+                           {{"trace", call ? call->trace : std::string()},
                             {"attempt", to_string(reply.id)},
                             {"outcome", to_string(reply.outcome)}});
     }
--- a/transport/src/socket_stream.cpp
+++ b/transport/src/socket_stream.cpp
@@ -7,10 +7,8 @@
 #include <ctime>
 #include <netinet/in.h>
 #include <poll.h>
-#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <transport/socket_stream.hpp>
-#include <utility>
 
 namespace kumquatramp
 {
@@ -49,10 +47,9 @@
 
 } // namespace
 
-socket_stream::socket_stream(int socket, int wake, clock const& time,
+socket_stream::socket_stream(int socket, clock const& time,
                              stream_limits limits)
     : socket_(socket)
-    , wake_(wake)
     , time_(time)
     , limits_(limits)
 {
@@ -60,11 +57,8 @@
 
 void socket_stream::begin(time_point deadline)
 {
-    deadline_.store(deadline.time_since_epoch().count());
-    gate_ = nullptr;
+    deadline_ = deadline;
     pending_.clear();
-    sent_ = 0;
-    received_ = 0;
     delivered_ = 0;
     line_length_ = 0;
     head_lines_ = 0;
@@ -72,47 +66,25 @@
     end_ = stream_end::none;
 }
 
-void socket_stream::set_send_gate(std::function<bool()> gate)
-{
-    gate_ = std::move(gate);
-}
-
-void socket_stream::shorten_deadline(time_point deadline)
-{
-    auto const wanted = deadline.time_since_epoch().count();
-    auto present = deadline_.load();
-    while (wanted < present &&
-           !deadline_.compare_exchange_weak(present, wanted))
-    {
-    }
-}
-
 bool socket_stream::give_up(stream_end reason)
 {
     end_ = reason;
     return false;
 }
 
-// Waits for the socket; a wake only makes it look at the deadline again.
 bool socket_stream::wait(short events)
 {
     for (;;)
     {
-        time_point const deadline{duration(deadline_.load())};
-        auto const left = deadline - time_.now();
+        auto const left = deadline_ - time_.now();
         if (left <= 0ns)
         {
             return give_up(stream_end::timed_out);
         }
-        std::array<pollfd, 2> waits{{{socket_, events, 0}, {wake_, POLLIN, 0}}};
+        pollfd wait{socket_, events, 0};
         auto const timeout = to_timespec(std::min<duration>(left, 1h));
-        ::ppoll(waits.data(), wake_ < 0 ? 1 : 2, &timeout, nullptr);
-        if (waits[1].revents != 0)
-        {
-            eventfd_t count = 0;
-            ::eventfd_read(wake_, &count);
-        }
-        if (waits[0].revents != 0)
+        ::ppoll(&wait, 1, &timeout, nullptr);
+        if (wait.revents != 0)
         {
             return true;
         }
@@ -129,10 +101,6 @@
     {
         return false;
     }
-    if (sent_ == 0 && gate_ && !gate_())
-    {
-        return give_up(stream_end::withheld);
-    }
     std::size_t done = 0;
     while (done < pending_.size())
     {
@@ -142,7 +110,6 @@
         if (count > 0)
         {
             done += static_cast<std::size_t>(count);
-            sent_ += static_cast<std::size_t>(count);
         }
         else if (errno == EAGAIN || errno == EWOULDBLOCK)
         {
@@ -162,7 +129,7 @@
 
 bool socket_stream::finish(time_point deadline)
 {
-    deadline_.store(deadline.time_since_epoch().count());
+    deadline_ = deadline;
     end_ = stream_end::none;
     return flush();
 }
@@ -182,7 +149,6 @@
         {
             buffer_.resize(static_cast<std::size_t>(count));
             position_ = 0;
-            received_ += buffer_.size();
             return true;
         }
         bool const again = count < 0 && (errno == EAGAIN || errno == EINTR);
--- a/transport/src/target_exchange.cpp
+++ b/transport/src/target_exchange.cpp
@@ -1,9 +1,13 @@
 // The target protocol: request headers out, answer headers in.
 #include <algorithm>
 #include <charconv>
-#include <transport/json_text.hpp>
+#include <eventloop/http_message.hpp>
+#include <fmt/format.h>
+#include <iterator>
+#include <limits/attempt_outcome.hpp>
+#include <node/actions.hpp>
+#include <transport/json_scan.hpp>
 #include <transport/target_exchange.hpp>
-#include <transport/target_job.hpp>
 
 namespace kumquatramp
 {
@@ -11,6 +15,8 @@
 namespace
 {
 
+using eventloop::http_message;
+
 constexpr int http_ok = 200;
 constexpr int http_no_content = 204;
 constexpr int http_conflict = 409;
@@ -74,18 +80,18 @@
     return good ? std::optional(report) : std::nullopt;
 }
 
-attempt_outcome outcome_of_refusal(httplib::Response const& response)
+attempt_outcome outcome_of_refusal(http_message const& answer)
 {
-    auto const refused = response.get_header_value("Refused");
-    if (response.status == http_unavailable && refused == "shed")
+    auto const refused = answer.header("Refused");
+    if (answer.status == http_unavailable && refused == "shed")
     {
         return attempt_outcome::refused;
     }
-    if (response.status == http_unavailable && refused == "draining")
+    if (answer.status == http_unavailable && refused == "draining")
     {
         return attempt_outcome::draining;
     }
-    if (response.status == http_conflict && refused == "wrong_snapshot")
+    if (answer.status == http_conflict && refused == "wrong_snapshot")
     {
         return attempt_outcome::wrong_snapshot;
     }
@@ -93,31 +99,25 @@
 }
 
 /// Fills in what an answer with status 200 carries; false if it is garbled.
-bool read_result(target_job const& job, httplib::Response const& response,
+bool read_result(send_attempt const& send, http_message const& answer,
                  target_reply& reply)
 {
-    bool const framed = response.has_header("Content-Length") ||
-                        response.has_header("Transfer-Encoding");
-    auto const snapshot = read_snapshot(response.get_header_value("Snapshot"));
+    bool const framed = answer.has_header("Content-Length") ||
+                        answer.has_header("Transfer-Encoding");
+    auto const snapshot = read_snapshot(answer.header("Snapshot"));
     std::uint32_t shard = 0;
-    if (!framed || !snapshot ||
-        !read_number(response.get_header_value("Shard"), shard))
+    if (!framed || !snapshot || !read_number(answer.header("Shard"), shard))
     {
         return false;
     }
     reply.snapshot = *snapshot;
     reply.shard = shard_index{shard};
-    auto const value = parse_json(response.body);
-    if (!value)
-    {
-        return false;
-    }
-    if (!job.send.idempotent)
+    if (!send.idempotent)
     {
-        reply.payload = response.body;
-        return true;
+        reply.payload = answer.body;
+        return is_json(answer.body);
     }
-    auto const items = array_text(*value, "items", response.body);
+    auto const items = find_array(answer.body, "items");
     if (items)
     {
         reply.payload = *items;
@@ -127,84 +127,96 @@
 
 } // namespace
 
-httplib::Request make_target_request(target_job const& job, time_point now)
+std::string execution_bytes(send_attempt const& send, std::string_view trace,
+                            time_point now)
 {
-    auto const& send = job.send;
-    httplib::Request request;
-    request.method = "POST";
-    request.path = job.withdrawal ? "/v1/cancel" : "/v1/execute";
-    request.set_header("Attempt-Id", to_string(send.id));
-    if (job.withdrawal)
-    {
-        return request;
-    }
     auto const left = std::chrono::ceil<std::chrono::milliseconds>(
         std::max<duration>(send.deadline - now, 1ms));
-    request.set_header("Service", send.service.value());
-    request.set_header("Shard", std::to_string(send.shard.value()));
-    request.set_header("Deadline-Ms", std::to_string(left.count()));
-    request.set_header("Kumquatramp-Trace", job.trace);
-    request.set_header("Content-Type", "application/json");
+    std::string bytes;
+    auto out = std::back_inserter(bytes);
+    fmt::format_to(out,
+                   "POST /v1/execute HTTP/1.1\r\nHost: {}\r\n"
+                   "Attempt-Id: {}\r\nService: {}\r\nShard: {}\r\n"
+                   "Deadline-Ms: {}\r\nKumquatramp-Trace: {}\r\n"
+                   "Content-Type: application/json\r\n",
+                   send.address, to_string(send.id), send.service.value(),
+                   send.shard.value(), left.count(), trace);
     if (send.snapshot != snapshot_id{})
     {
-        request.set_header("Snapshot", snapshot_text(send.snapshot));
+        fmt::format_to(out, "Snapshot: {}\r\n", snapshot_text(send.snapshot));
     }
     if (!send.request_id.empty())
     {
-        request.set_header("Request-Id", send.request_id);
-    }
-    if (send.body)
-    {
-        request.body = *send.body;
+        fmt::format_to(out, "Request-Id: {}\r\n", send.request_id);
     }
-    return request;
+    std::string_view const body = send.body ? *send.body : std::string_view();
+    fmt::format_to(out, "Content-Length: {}\r\n\r\n{}", body.size(), body);
+    return bytes;
 }
 
-target_reply read_target_answer(target_job const& job,
-                                httplib::Response const& response)
+std::string withdrawal_bytes(attempt_id const& id, std::string_view address)
+{
+    return fmt::format("POST /v1/cancel HTTP/1.1\r\nHost: {}\r\n"
+                       "Attempt-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                       address, to_string(id));
+}
+
+target_reply read_target_answer(send_attempt const& send,
+                                http_message const& answer)
 {
     target_reply reply;
-    reply.id = job.send.id;
-    reply.echoed = parse_attempt_id(response.get_header_value("Attempt-Id"));
-    if (reply.echoed != job.send.id)
+    reply.id = send.id;
+    reply.echoed = parse_attempt_id(answer.header("Attempt-Id"));
+    if (reply.echoed != send.id)
     {
         reply.outcome = attempt_outcome::malformed;
         return reply;
     }
-    reply.load = read_load(response.get_header_value("Load"));
-    reply.holds = read_holds(response.get_header_value("Holds"));
-    if (response.status == http_ok)
+    reply.load = read_load(answer.header("Load"));
+    reply.holds = read_holds(answer.header("Holds"));
+    if (answer.status == http_ok)
     {
-        bool const good = read_result(job, response, reply);
+        bool const good = read_result(send, answer, reply);
         reply.outcome =
             good ? attempt_outcome::answered : attempt_outcome::malformed;
         return reply;
     }
-    reply.outcome = response.status == http_no_content
+    reply.outcome = answer.status == http_no_content
                         ? attempt_outcome::malformed
-                        : outcome_of_refusal(response);
+                        : outcome_of_refusal(answer);
     return reply;
 }
 
-attempt_outcome outcome_of_broken_exchange(socket_stream const& stream,
-                                           bool withdrawn)
+attempt_outcome outcome_of(eventloop::send_outcome ended,
+                           std::optional<target_reply> const& answer,
+                           given_up why)
 {
-    if (stream.bytes_sent() == 0)
+    using eventloop::send_outcome;
+    if (ended == send_outcome::answered && answer)
+    {
+        bool const settled = answer->outcome == attempt_outcome::answered ||
+                             certainly_not_run(answer->outcome);
+        return why.withdrawn && !settled ? attempt_outcome::cancelled
+                                         : answer->outcome;
+    }
+    if (ended == send_outcome::unconnected)
+    {
+        return attempt_outcome::connect_failed;
+    }
+    if (ended == send_outcome::not_sent)
     {
-        return stream.end() == stream_end::withheld
-                   ? attempt_outcome::not_sent
-                   : attempt_outcome::connect_failed;
+        return attempt_outcome::not_sent;
     }
-    if (withdrawn)
+    if (why.withdrawn)
     {
         return attempt_outcome::cancelled;
     }
-    if (stream.end() == stream_end::timed_out)
+    if (why.timed_out)
     {
         return attempt_outcome::timed_out;
     }
-    return stream.bytes_received() == 0 ? attempt_outcome::broken
-                                        : attempt_outcome::malformed;
+    return ended == send_outcome::broken ? attempt_outcome::broken
+                                         : attempt_outcome::malformed;
 }
 
 } // namespace kumquatramp
--- a/transport/src/waiting_calls.cpp
+++ b/transport/src/waiting_calls.cpp
@@ -5,52 +5,19 @@
 namespace kumquatramp
 {
 
-namespace
-{
-
-constexpr std::chrono::milliseconds poll_interval{50};
-
-} // namespace
-
-waiting_call::waiting_call(std::string trace, std::optional<request_id> once)
-    : trace_(std::move(trace))
-    , once_(std::move(once))
-{
-}
-
-void waiting_call::answer(request_answer answer)
-{
-    std::lock_guard const guard(mutex_);
-    answer_ = std::move(answer);
-    changed_.notify_one();
-}
-
-request_answer waiting_call::wait(std::function<void()> const& poll)
-{
-    std::unique_lock lock(mutex_);
-    while (!changed_.wait_for(lock, poll_interval,
-                              [this] { return answer_.has_value(); }))
-    {
-        lock.unlock();
-        poll();
-        lock.lock();
-    }
-    return std::move(*answer_);
-}
-
 waiting_calls::shard& waiting_calls::shard_of(query_number number)
 {
     return shards_[number.value() % shard_count];
 }
 
-void waiting_calls::add(query_number number, std::shared_ptr<waiting_call> call)
+void waiting_calls::add(query_number number, call waiting)
 {
     auto& shard = shard_of(number);
     std::lock_guard const guard(shard.mutex);
-    shard.calls.emplace(number, std::move(call));
+    shard.calls.emplace(number, std::move(waiting));
 }
 
-std::shared_ptr<waiting_call> waiting_calls::find(query_number number)
+waiting_calls::call waiting_calls::find(query_number number)
 {
     auto& shard = shard_of(number);
     std::lock_guard const guard(shard.mutex);
@@ -58,7 +25,7 @@
     return found == shard.calls.end() ? nullptr : found->second;
 }
 
-std::shared_ptr<waiting_call> waiting_calls::take(query_number number)
+waiting_calls::call waiting_calls::take(query_number number)
 {
     auto& shard = shard_of(number);
     std::lock_guard const guard(shard.mutex);
@@ -67,9 +34,9 @@
     {
         return nullptr;
     }
-    auto call = std::move(found->second);
+    auto waiting = std::move(found->second);
     shard.calls.erase(found);
-    return call;
+    return waiting;
 }
 
 std::optional<query_number> waiting_calls::number_of(request_id const& id)
@@ -77,9 +44,9 @@
     for (auto& shard : shards_)
     {
         std::lock_guard const guard(shard.mutex);
-        for (auto const& [number, call] : shard.calls)
+        for (auto const& [number, waiting] : shard.calls)
         {
-            if (call->once() == id)
+            if (waiting->once == id)
             {
                 return number;
             }
--- /dev/null
+++ b/transport/tests/json_scan_test.cpp
@@ -0,0 +1,46 @@
+// What counts as JSON, and where an array's inner text stands.
+#include <catch2/catch.hpp>
+#include <string>
+#include <transport/json_scan.hpp>
+
+using namespace kumquatramp;
+
+TEST_CASE("one value in UTF-8 is JSON, all else is not")
+{
+    for (auto const* text :
+         {"{}", " [1, 2] ", "null", "\"a\\u0041\"", "-1.5e3", "{\"a\":[{}]}"})
+    {
+        CAPTURE(text);
+        CHECK(is_json(text));
+    }
+    for (auto const* text : {"", "{", "{}{}", "[1,]", "{a:1}", "nul", "01",
+                             "\"\xff\"", "\x01\xff{{{", "// x\n{}", "{\"a\":1"})
+    {
+        CAPTURE(text);
+        CHECK_FALSE(is_json(text));
+    }
+    CHECK(is_json(std::string(64, '[') + std::string(64, ']')));
+    CHECK_FALSE(is_json(std::string(65, '[') + std::string(65, ']')));
+    CHECK_FALSE(is_json(std::string(1'000'000, '[')));
+}
+
+TEST_CASE("an array is found as it stands in the text")
+{
+    CHECK(find_array(R"({"items":[{"a":1}, 2]})", "items") == R"({"a":1}, 2)");
+    CHECK(find_array(R"( {"x":{"items":[9]},"items" : [ ],"y":[1]} )",
+                     "items") == " ");
+    CHECK(find_array(R"({"items":[[1],[2,[3]]]})", "items") == "[1],[2,[3]]");
+    CHECK(find_array(R"({"it\u0065ms":[1]})", "items") == "1");
+}
+
+TEST_CASE("no array where there is none, or where it is not the only one")
+{
+    for (auto const* text :
+         {R"({})", R"([])", R"({"items":1})", R"({"items":{"items":[1]}})",
+          R"({"items":[1],"items":[2]})", R"({"items":[1],"items":2})",
+          R"([{"items":[1]}])", R"({"items":[1})", R"({"items":[1]}x)"})
+    {
+        CAPTURE(text);
+        CHECK_FALSE(find_array(text, "items"));
+    }
+}
