Count hedges, retries, refusals by reason and targets by state

Cause: an engineer saw that answers were late, not whether hedges were denied by a spent budget, which reason refusals had, or how many targets were full; all types of request shared one histogram. Change: the engine counts what it decides beyond first sends and tells the least budget left; histograms by type of request and of the store's listings; targets by state.

--- a/host/bench/query_path.cpp
+++ b/host/bench/query_path.cpp
@@ -1,5 +1,6 @@
 // Cost of the query path: sub-requests a core-second for scattered queries
-// over loop-back, counted on the thread of the host alone.
+// over loop-back, counted on the thread of the host alone; and what the log
+// adds to it.
 #include <array>
 #include <asio/write.hpp>
 #include <atomic>
@@ -16,6 +17,7 @@
 #include <host/host_log.hpp>
 #include <memory>
 #include <serving/fleet_size.hpp>
+#include <serving/request_story.hpp>
 #include <serving/route_catalogue.hpp>
 #include <serving/target_book.hpp>
 #include <serving/warmup_share.hpp>
@@ -34,6 +36,11 @@
 constexpr auto measured = std::chrono::seconds(3);
 /// The aim of the design, in sub-requests a core-second.
 constexpr double bound = 20'000;
+/// The log may add this share to the processor time of a calm day.
+constexpr double log_bound = 0.05;
+/// Share of a calm day's requests that get a line: those sampled, and a few
+/// that are late or in part.
+constexpr double told_share = 0.05;
 
 constexpr std::uint16_t front_port = 23'110;
 constexpr std::uint16_t first_target_port = 23'120;
@@ -142,6 +149,45 @@
     return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) / 1e9;
 }
 
+/// Sub-requests served, and the processor time that they took.
+struct tally
+{
+    double served = 0;
+    double cpu_s = 0;
+
+    double rate() const { return served / cpu_s; }
+};
+
+/// Lets a line pass each time it is asked.
+class stepping_clock final : public kumquatramp::clock
+{
+public:
+    time_point now() const noexcept override { return at_ += 1s; }
+
+private:
+    mutable time_point at_{};
+};
+
+/// Processor time of one request's line, written to the end.
+double line_cpu_s()
+{
+    constexpr int lines = 20'000;
+    stepping_clock time;
+    host::host_log log(open("/dev/null", O_WRONLY | O_CLOEXEC), "bench", time);
+    serving::request_story story;
+    story.kind = serving::story_kind::served;
+    story.outcome = "answered";
+    story.route = "all";
+    story.shards = shards;
+    double const before = thread_cpu_s();
+    for (int i = 0; i < lines; ++i)
+    {
+        log.request("9c41d07be2a35f68", story);
+        log.flush();
+    }
+    return (thread_cpu_s() - before) / lines;
+}
+
 std::shared_ptr<serving::route_catalogue const> catalogue()
 {
     serving::catalogue_data data;
@@ -211,13 +257,16 @@
     long const before = answered;
     double const cpu_before = thread_cpu_s();
     loop.run_for(measured);
-    double const cpu = thread_cpu_s() - cpu_before;
-    auto const served = static_cast<double>(answered - before) * shards;
+    tally const path{static_cast<double>(answered - before) * shards,
+                     thread_cpu_s() - cpu_before};
     outside.stop();
     others.join();
-    double const rate = served / cpu;
+    double const query_cpu_s = path.cpu_s * shards / path.served;
+    double const log_share = told_share * line_cpu_s() / query_cpu_s;
     std::printf("query path: %.0f sub-requests, %.2f s of processor time, "
                 "%.0f sub-requests a core-second (bound %.0f)\n",
-                served, cpu, rate, bound);
-    return rate >= bound ? 0 : 1;
+                path.served, path.cpu_s, path.rate(), bound);
+    std::printf("log: %.3f%% of a query's processor time (bound %.0f%%)\n",
+                log_share * 100, log_bound * 100);
+    return path.rate() >= bound && log_share <= log_bound ? 0 : 1;
 }
--- a/host/include/host/service_counters.hpp
+++ b/host/include/host/service_counters.hpp
@@ -3,8 +3,10 @@
 #define KUMQUATRAMP_HOST_SERVICE_COUNTERS_HPP
 
 #include <array>
+#include <base/error_kind.hpp>
 #include <base/time.hpp>
 #include <cstdint>
+#include <serving/request_type.hpp>
 #include <string>
 #include <string_view>
 
@@ -16,7 +18,9 @@
 {
 public:
     void add(duration latency);
-    void print(std::string& text, std::string_view name) const;
+    /// `label` is empty or one pair, e.g. type="query".
+    void print(std::string& text, std::string_view name,
+               std::string_view label = {}) const;
 
 private:
     static constexpr std::array<int, 12> bounds_ms{
@@ -31,20 +35,23 @@
     std::uint64_t relayed = 0;
     std::uint64_t merged_whole = 0;
     std::uint64_t merged_partial = 0;
-    std::uint64_t refused = 0; ///< certainly not run
-    std::uint64_t failed = 0;
+    /// Answers of this host's own, by what they tell.
+    std::array<std::uint64_t, error_kind_count> errors{};
     std::uint64_t client_left = 0;
     std::uint64_t sends = 0;
     std::uint64_t sends_broken = 0;
     std::uint64_t sends_refused = 0;
-    latency_histogram request_latency;
+    std::array<latency_histogram, serving::request_type_count> request_latency;
     latency_histogram send_latency;
 
+    void count_error(error_kind kind);
+
     void print(std::string& text) const;
 };
 
-/// One line of the text format.
-void print_metric(std::string& text, std::string_view name, double value);
+/// One line of the text format; `label` is empty or one pair.
+void print_metric(std::string& text, std::string_view name, double value,
+                  std::string_view label = {});
 
 } // namespace kumquatramp::host
 
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -82,7 +82,7 @@
     {
         auto const kind =
             refusing_ ? error_kind::leaving : error_kind::malformed_request;
-        ++counters_.refused;
+        counters_.count_error(kind);
         serving::request_story story;
         story.outcome = answer_of(kind).code;
         log_.request(state->id, story);
@@ -138,6 +138,7 @@
 
 std::string front_service::rejection(error_kind kind)
 {
+    counters_.count_error(kind);
     log_.note("client.rejected", answer_of(kind).code, answer_of(kind).text);
     return error_bytes(kind, std::nullopt, true);
 }
@@ -233,7 +234,8 @@
     {
         return;
     }
-    counters_.request_latency.add(time_.now() - exchange->second->arrived);
+    counters_.request_latency[static_cast<std::size_t>(answer.type)].add(
+        time_.now() - exchange->second->arrived);
     std::string bytes;
     switch (answer.what)
     {
@@ -247,9 +249,7 @@
         bytes = merged_bytes(answer);
         break;
     case form::error:
-        ++(answer_of(answer.error).state == run_state::not_run
-               ? counters_.refused
-               : counters_.failed);
+        counters_.count_error(answer.error);
         bytes = error_bytes(answer.error, answer.retry_after, false);
         break;
     }
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -63,22 +63,25 @@
                [this](auto method, auto target)
                { return answer_control(method, target); })
     , store_(adapter.connect_store(
-          loop_, settings_.store,
-          {.answered =
-               [this](registry::store_answer const& a)
-           {
-               follower_.on_answer(a, time_.now());
-               follow_store();
-           },
-           .failed =
-               [this](registry::store_failure f, char const* cause)
-           {
-               follower_.on_failure(f, cause, time_.now());
-               follow_store();
-           }}))
+                 loop_, settings_.store,
+                 {.answered =
+                      [this](registry::store_answer const& a)
+                  {
+                      store_.ended();
+                      follower_.on_answer(a, time_.now());
+                      follow_store();
+                  },
+                  .failed =
+                      [this](registry::store_failure f, char const* cause)
+                  {
+                      store_.ended();
+                      follower_.on_failure(f, cause, time_.now());
+                      follow_store();
+                  }}),
+             time_)
     , follower_({.watch_wait = settings_.contact_bound,
                  .pace = scaled(settings_.drain_bound, pace_share)},
-                *store_, *this, random_, log_)
+                store_, *this, random_, log_)
     , signals_(loop_, SIGTERM, SIGHUP)
     , sweep_timer_(loop_)
     , gossip_timer_(loop_)
--- a/host/src/query_host_details.hpp
+++ b/host/src/query_host_details.hpp
@@ -3,6 +3,7 @@
 #define KUMQUATRAMP_HOST_QUERY_HOST_DETAILS_HPP
 
 #include "endpoint.hpp"
+#include "timed_store.hpp"
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -66,6 +67,7 @@
     endpoint_answer answer_control(std::string_view method,
                                    std::string_view target);
     std::string metrics();
+    void print_decisions(std::string& text, time_point now);
     bool ready();
 
     host_settings settings_;
@@ -83,7 +85,7 @@
     endpoint readiness_;
     endpoint directory_;
     endpoint control_;
-    std::unique_ptr<registry::store_port> store_;
+    timed_store store_;
     registry::store_follower follower_;
     std::optional<eventloop::datagram_port> port_;
     asio::signal_set signals_;
--- a/host/src/query_host_endpoints.cpp
+++ b/host/src/query_host_endpoints.cpp
@@ -74,6 +74,35 @@
     return {};
 }
 
+void query_host::details::print_decisions(std::string& text, time_point now)
+{
+    auto const& decided = front_.engine().counters();
+    auto const count = [&](std::string_view name, std::uint64_t value)
+    { print_metric(text, name, static_cast<double>(value)); };
+    count("hedges_total", decided.hedges);
+    count("retries_total", decided.retries);
+    count("hedges_denied_total", decided.hedges_denied);
+    count("retries_denied_total", decided.retries_denied);
+    count("shards_spared_total", decided.spared);
+    if (auto const left = front_.engine().least_budget_left(now))
+    {
+        print_metric(text, "retry_budget_left_sends", *left);
+    }
+    auto const states = book_.states(now);
+    auto const in_state = [&](std::string_view state, int targets) {
+        print_metric(text, "targets", targets,
+                     fmt::format("state=\"{}\"", state));
+    };
+    in_state("misdirected", states.misdirected);
+    in_state("draining", states.draining);
+    in_state("unlisted", states.unlisted);
+    in_state("evacuated", states.evacuated);
+    in_state("failing", states.failing);
+    in_state("cold", states.cold);
+    in_state("full", states.full);
+    in_state("ready", states.ready);
+}
+
 std::string query_host::details::metrics()
 {
     time_point const now = time_.now();
@@ -90,13 +119,14 @@
                  static_cast<double>(pool.idle));
     print_metric(text, "target_connections_opened_total",
                  static_cast<double>(pool.opened));
-    print_metric(text, "targets", static_cast<double>(book_.size()));
+    print_decisions(text, now);
     print_metric(text, "targets_usable",
                  static_cast<double>(book_.usable_count()));
     print_metric(text, "live_hosts", fleet_.live_hosts());
     print_metric(
         text, "configuration_version",
         catalogue == nullptr ? 0.0 : static_cast<double>(catalogue->version()));
+    store_.listings().print(text, "store_listing_seconds");
     print_metric(text, "store_calls_total",
                  static_cast<double>(follower_.calls()));
     print_metric(
--- /dev/null
+++ b/host/src/timed_store.cpp
@@ -0,0 +1,41 @@
+// Measures the calls to the platform's store.
+#include "timed_store.hpp"
+#include <utility>
+
+namespace kumquatramp::host
+{
+
+timed_store::timed_store(std::unique_ptr<registry::store_port> store,
+                         clock const& time)
+    : store_(std::move(store))
+    , time_(time)
+{
+}
+
+void timed_store::list(std::string const& after)
+{
+    listing_since_ = time_.now();
+    store_->list(after);
+}
+
+void timed_store::watch(std::uint64_t revision, duration wait)
+{
+    listing_since_ = never;
+    store_->watch(revision, wait);
+}
+
+void timed_store::cancel()
+{
+    listing_since_ = never;
+    store_->cancel();
+}
+
+void timed_store::ended()
+{
+    if (listing_since_ != never)
+    {
+        listings_.add(time_.now() - std::exchange(listing_since_, never));
+    }
+}
+
+} // namespace kumquatramp::host
--- /dev/null
+++ b/host/tests/host_log_test.cpp
@@ -0,0 +1,160 @@
+// The log: bounded in a burst, never blocking, each line one JSON object.
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <host/host_log.hpp>
+#include <json/reader.h>
+#include <json/value.h>
+#include <memory>
+#include <serving/request_story.hpp>
+#include <sstream>
+#include <unistd.h>
+
+namespace kumquatramp::host
+{
+
+namespace
+{
+
+class set_clock final : public clock
+{
+public:
+    time_point now() const noexcept override { return at; }
+    time_point at = time_point(1h);
+};
+
+/// The two ends of a pipe that holds little.
+struct small_pipe
+{
+    small_pipe()
+    {
+        REQUIRE(pipe(ends) == 0);
+        fcntl(ends[1], F_SETPIPE_SZ, 4096);
+        fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    }
+    ~small_pipe()
+    {
+        close(ends[0]);
+        close(ends[1]);
+    }
+    std::string read_all() const
+    {
+        std::string text;
+        char part[4096];
+        ssize_t size = 0;
+        while ((size = read(ends[0], part, sizeof part)) > 0)
+        {
+            text.append(part, static_cast<std::size_t>(size));
+        }
+        return text;
+    }
+    int ends[2]{};
+};
+
+serving::request_story refusal()
+{
+    serving::request_story story;
+    story.outcome = "overloaded";
+    story.route = "r-\"1\"\n\x01\xff";
+    story.version = 7;
+    story.took = 12ms;
+    story.shards = 1;
+    story.missing = 1;
+    story.details = "s1 lost refused-by i-1, last: refused by the target";
+    return story;
+}
+
+std::vector<Json::Value> lines_of(std::string const& text)
+{
+    std::vector<Json::Value> lines;
+    std::istringstream stream(text);
+    std::string line;
+    Json::CharReaderBuilder builder;
+    std::unique_ptr<Json::CharReader> const reader(builder.newCharReader());
+    while (std::getline(stream, line))
+    {
+        Json::Value value;
+        CAPTURE(line);
+        REQUIRE(reader->parse(line.data(), line.data() + line.size(), &value,
+                              nullptr));
+        lines.push_back(std::move(value));
+    }
+    return lines;
+}
+
+} // namespace
+
+TEST_CASE("a request's line has its fields, whatever bytes a name holds")
+{
+    small_pipe out;
+    set_clock time;
+    host_log log(out.ends[1], "front-1", time);
+    log.request("id \"7\"\x02", refusal());
+    log.flush();
+    auto const lines = lines_of(out.read_all());
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["event"] == "request.failed");
+    CHECK(lines[0]["host"] == "front-1");
+    CHECK(lines[0]["id"] == "id \"7\"\x02");
+    CHECK(lines[0]["outcome"] == "overloaded");
+    CHECK(lines[0]["version"] == 7);
+    CHECK(lines[0]["after_ms"] == 12);
+    CHECK(lines[0]["missing"] == 1);
+    CHECK(lines[0]["details"].asString().find("refused-by i-1") !=
+          std::string::npos);
+    CHECK(lines[0]["dropped"] == 0);
+}
+
+TEST_CASE("load pattern burst of refusals: lines a second are bounded, and "
+          "what was dropped is told")
+{
+    small_pipe out;
+    set_clock time;
+    host_log log(out.ends[1], "front-1", time);
+    std::size_t kept = 0;
+    for (int i = 0; i < 5000; ++i)
+    {
+        log.request("id", refusal());
+        log.flush();
+        kept += lines_of(out.read_all()).size();
+    }
+    CHECK(kept == 200);
+    CHECK(log.dropped() == 4800);
+    time.at += 1s;
+    log.request("id", refusal());
+    log.flush();
+    auto const lines = lines_of(out.read_all());
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["dropped"] == 4800);
+}
+
+TEST_CASE("a reader that stops does not stop the writer")
+{
+    small_pipe out;
+    set_clock time;
+    host_log log(out.ends[1], "front-1", time);
+    for (int second = 0; second < 60; ++second)
+    {
+        for (int i = 0; i < 200; ++i)
+        {
+            log.note("target.found", "i-1", std::string(100, 'x'));
+            log.flush();
+        }
+        time.at += 1s;
+    }
+    CHECK(log.dropped() > 0);
+    // Once it reads again it gets whole lines, and then the count.
+    std::string text;
+    for (int i = 0; i < 200; ++i)
+    {
+        text += out.read_all();
+        log.flush();
+    }
+    log.note("target.gone", "i-1", "");
+    log.flush();
+    text += out.read_all();
+    auto const lines = lines_of(text);
+    CHECK(lines.back()["event"] == "target.gone");
+    CHECK(lines.back()["dropped"].asUInt64() == log.dropped());
+}
+
+} // namespace kumquatramp::host
--- a/serving/include/serving/client_answer.hpp
+++ b/serving/include/serving/client_answer.hpp
@@ -5,6 +5,7 @@
 #include <base/error_kind.hpp>
 #include <base/time.hpp>
 #include <optional>
+#include <serving/request_type.hpp>
 #include <span>
 #include <string>
 
@@ -23,6 +24,7 @@
     };
 
     form what = form::error;
+    request_type type = request_type::unrouted;
     std::uint64_t attempt = 0; ///< relayed: whose reply
     std::string body;          ///< merged
     std::string part_stamps;   ///< merged: signatures, comma-separated
--- a/serving/include/serving/request_engine.hpp
+++ b/serving/include/serving/request_engine.hpp
@@ -5,6 +5,8 @@
 #include <base/random_source.hpp>
 #include <base/time.hpp>
 #include <memory>
+#include <optional>
+#include <serving/engine_counters.hpp>
 #include <serving/engine_port.hpp>
 #include <serving/serving_options.hpp>
 #include <serving/target_reply.hpp>
@@ -65,6 +67,11 @@
     time_point next_due() const;
 
     std::size_t in_progress() const;
+    engine_counters const& counters() const;
+
+    /// The least that any service's retry budget leaves, in sends; nothing
+    /// before the first request.
+    std::optional<double> least_budget_left(time_point now);
 
 private:
     class details;
--- /dev/null
+++ b/serving/include/serving/request_type.hpp
@@ -0,0 +1,32 @@
+// The three types of request that figures are kept apart for.
+#ifndef KUMQUATRAMP_SERVING_REQUEST_TYPE_HPP
+#define KUMQUATRAMP_SERVING_REQUEST_TYPE_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace kumquatramp::serving
+{
+
+enum class request_type : std::uint8_t
+{
+    query,      ///< scattered over shards
+    repeatable, ///< one target, idempotent
+    once,       ///< one target, must not be repeated
+    unrouted,   ///< refused before a route was found
+};
+
+constexpr std::size_t request_type_count = 4;
+
+/// Stable words for programs.
+constexpr std::string_view to_string(request_type type)
+{
+    constexpr std::string_view names[request_type_count] = {
+        "query", "repeatable", "once", "unrouted"};
+    return names[static_cast<std::size_t>(type)];
+}
+
+} // namespace kumquatramp::serving
+
+#endif
--- a/serving/include/serving/target_book.hpp
+++ b/serving/include/serving/target_book.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <serving/target.hpp>
+#include <serving/target_states.hpp>
 #include <set>
 #include <span>
 #include <string>
@@ -92,6 +93,7 @@
     std::span<std::shared_ptr<target> const>
     replicas(std::string_view service) const;
     std::size_t usable_count() const;
+    target_states states(time_point now) const;
 
 private:
     std::shared_ptr<target> pick(std::string_view service, duration usual,
--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -40,9 +40,23 @@
     return found->second;
 }
 
-void request_engine::details::refuse(request_handle request, error_kind error)
+std::optional<double> request_engine::details::least_budget_left(time_point now)
+{
+    std::optional<double> least;
+    int const hosts = fleet_.hosts(now);
+    for (auto& [service, b] : budgets_)
+    {
+        double const left = b.left(retry_budget::use::retry, hosts, now);
+        least = least ? std::min(*least, left) : left;
+    }
+    return least;
+}
+
+void request_engine::details::refuse(request_handle request, request_type type,
+                                     error_kind error)
 {
     client_answer refusal;
+    refusal.type = type;
     refusal.error = error;
     if (answer_of(error).retry_after)
     {
@@ -63,7 +77,7 @@
     request_story story;
     story.outcome = answer_of(error).code;
     story.version = catalogue_ ? catalogue_->version() : 0;
-    refuse(request, error);
+    refuse(request, request_type::unrouted, error);
     port_.log_request(request, story);
 }
 
@@ -146,7 +160,7 @@
     }
     if (reachable < needed(r))
     {
-        refuse(r.handle, error_kind::no_target);
+        refuse(r.handle, r.type(), error_kind::no_target);
         port_.log_request(r.handle,
                           story(r, story_kind::failed,
                                 answer_of(error_kind::no_target).code, now));
@@ -227,10 +241,7 @@
             continue;
         }
         s.now = shard_state::waiting;
-        bool const arrived = s.targets_used() > 0;
-        if ((arrived && !budget(s.service).spend(retry_budget::use::retry,
-                                                 fleet_.hosts(now), now)) ||
-            !send(r, i, false, now))
+        if (!may_retry(s, now) || !send(r, i, false, now))
         {
             s.now = shard_state::lost;
             ++missing;
@@ -268,6 +279,7 @@
 {
     client_answer merged;
     merged.what = client_answer::form::merged;
+    merged.type = r.type();
     std::vector<std::string const*> parts;
     for (auto const& s : r.shards)
     {
@@ -300,7 +312,7 @@
     {
         error = error_kind::overloaded;
     }
-    refuse(r.handle, error);
+    refuse(r.handle, r.type(), error);
     finish(r, true, answer_of(error).code, now);
 }
 
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -27,7 +27,10 @@
     bool may_send(attempt_handle attempt, time_point now) const;
     void tick(time_point now);
 
+    std::optional<double> least_budget_left(time_point now);
+
     std::shared_ptr<route_catalogue const> catalogue_;
+    engine_counters counters_;
     serving_options options_;
     timer_queue timers_;
     std::unordered_map<request_handle, running_request> requests_;
@@ -35,7 +38,7 @@
 private:
     using shard_state = shard_progress::state;
 
-    void refuse(request_handle request, error_kind error);
+    void refuse(request_handle request, request_type type, error_kind error);
     void refuse_unadmitted(request_handle request, error_kind error);
     void admit(client_request const& request, route const& on, time_point now);
     std::string const& choose_service(route const& on);
@@ -64,6 +67,8 @@
                target_reply const& reply, time_point now);
     void retry_or_lose(running_request& r, std::size_t shard, time_point now);
     bool may_repeat(running_request const& r, shard_progress const& s) const;
+    /// Takes a further send from the budget, if it is an extra arrival.
+    bool may_retry(shard_progress const& s, time_point now);
     void settle(running_request& r, time_point now);
     /// Sends deferred shards that the request cannot do without.
     void revive(running_request& r, time_point now);
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -112,6 +112,7 @@
         {
             s.now = shard_state::deferred;
             s.cause = "target full";
+            ++counters_.spared;
             return nullptr;
         }
         if (bears(*t, r, now))
@@ -318,6 +319,7 @@
         is_success(reply.status) ? shard_state::answered : shard_state::lost;
     client_answer relayed;
     relayed.what = client_answer::form::relayed;
+    relayed.type = r.type();
     relayed.attempt = attempt;
     port_.answer(r.handle, std::move(relayed));
     finish(r, server_fault, "relayed", now);
@@ -338,6 +340,17 @@
     return s.targets_used() < r.on->max_attempts || refused_before(s);
 }
 
+bool request_engine::details::may_retry(shard_progress const& s, time_point now)
+{
+    // Only a send that arrived makes the next one an extra arrival.
+    bool const granted = s.targets_used() == 0 ||
+                         budget(s.service).spend(retry_budget::use::retry,
+                                                 fleet_.hosts(now), now);
+    counters_.retries += granted && s.sends > 0 ? 1 : 0;
+    counters_.retries_denied += granted ? 0 : 1;
+    return granted;
+}
+
 void request_engine::details::retry_or_lose(running_request& r,
                                             std::size_t shard, time_point now)
 {
@@ -346,13 +359,10 @@
     {
         return;
     }
-    // Only a send that arrived makes the next one an extra arrival.
     bool const arrived = s.targets_used() > 0;
     bool const dispensable =
         may_skip(r) && budget(s.service).scarce(fleet_.hosts(now), now);
-    if (may_repeat(r, s) && !(arrived && dispensable) &&
-        (!arrived || budget(s.service).spend(retry_budget::use::retry,
-                                             fleet_.hosts(now), now)) &&
+    if (may_repeat(r, s) && !(arrived && dispensable) && may_retry(s, now) &&
         send(r, shard, false, now))
     {
         return;
@@ -392,9 +402,12 @@
     }
     auto& extras = budget(s.service);
     int const hosts = fleet_.hosts(now);
-    if (extras.left(retry_budget::use::hedge, hosts, now) >= 1.0 &&
-        send(r, shard, true, now))
+    bool const affordable =
+        extras.left(retry_budget::use::hedge, hosts, now) >= 1.0;
+    counters_.hedges_denied += affordable ? 0 : 1;
+    if (affordable && send(r, shard, true, now))
     {
+        ++counters_.hedges;
         extras.spend(retry_budget::use::hedge, hosts, now);
         return;
     }
--- a/serving/src/details/running_request.hpp
+++ b/serving/src/details/running_request.hpp
@@ -6,6 +6,7 @@
 #include <base/time.hpp>
 #include <memory>
 #include <serving/engine_port.hpp>
+#include <serving/request_type.hpp>
 #include <serving/route_catalogue.hpp>
 #include <serving/target.hpp>
 #include <string>
@@ -73,6 +74,13 @@
     int outstanding = 0;   ///< attempts whose end is not known
     std::vector<shard_progress> shards;
 
+    request_type type() const
+    {
+        return on->scatters()   ? request_type::query
+               : on->idempotent ? request_type::repeatable
+                                : request_type::once;
+    }
+
     int count(shard_progress::state state) const
     {
         return static_cast<int>(std::count_if(shards.begin(), shards.end(),
--- a/serving/src/request_engine.cpp
+++ b/serving/src/request_engine.cpp
@@ -73,4 +73,14 @@
     return details_->requests_.size();
 }
 
+engine_counters const& request_engine::counters() const
+{
+    return details_->counters_;
+}
+
+std::optional<double> request_engine::least_budget_left(time_point now)
+{
+    return details_->least_budget_left(now);
+}
+
 } // namespace kumquatramp::serving
--- a/serving/src/target_book.cpp
+++ b/serving/src/target_book.cpp
@@ -305,4 +305,22 @@
         [&](auto const& entry) { return may_send(*entry.second); }));
 }
 
+target_states target_book::states(time_point now) const
+{
+    target_states counts;
+    for (auto const& [id, t] : by_id_)
+    {
+        int& count = t->misdirected                        ? counts.misdirected
+                     : t->listed == listing::draining      ? counts.draining
+                     : t->listed == listing::unlisted      ? counts.unlisted
+                     : evacuated_.contains(t->record.zone) ? counts.evacuated
+                     : now < t->avoid_until                ? counts.failing
+                     : now < t->cold_until                 ? counts.cold
+                     : t->admitted_share < 1.0             ? counts.full
+                                                           : counts.ready;
+        ++count;
+    }
+    return counts;
+}
+
 } // namespace kumquatramp::serving
