Split the engine's largest files by subject; one reading of callers' requests

No change in behaviour: admission and replies have files of their own, the callers' port reads queries and non-idempotent requests in one place, and two tests share the options of a small port.

--- a/eventloop/src/upstream_pool.cpp
+++ b/eventloop/src/upstream_pool.cpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <eventloop/socket_options.hpp>
 #include <eventloop/upstream_pool.hpp>
+#include <limits>
 #include <serving/target.hpp>
 
 namespace kumquatramp::eventloop
@@ -33,9 +34,9 @@
     std::shared_ptr<serving::target> to;
     std::vector<std::shared_ptr<upstream_connection>> connections;
     std::deque<order_state> waiting;
-    std::size_t warm = 0;                             ///< connections kept open
-    std::size_t limit = static_cast<std::size_t>(-1); ///< idle ones beyond it
-                                                      ///< are closed
+    std::size_t warm = 0; ///< connections kept open ahead of need
+    /// Idle connections beyond it are closed.
+    std::size_t limit = std::numeric_limits<std::size_t>::max();
     time_point next_warm_up{};
     bool loss_told = false;
 };
--- /dev/null
+++ b/serving/src/details/engine_admission.cpp
@@ -0,0 +1,146 @@
+// Refusals, routes and the first sends of a request.
+#include "details/engine_details.hpp"
+#include <algorithm>
+#include <base/error_answer.hpp>
+#include <serving/client_answer.hpp>
+#include <serving/target_book.hpp>
+
+namespace kumquatramp::serving
+{
+
+void request_engine::details::refuse(request_handle request, request_type type,
+                                     error_kind error)
+{
+    client_answer refusal;
+    refusal.type = type;
+    refusal.error = error;
+    if (answer_of(error).retry_after)
+    {
+        bool const unready =
+            error == error_kind::not_ready || error == error_kind::no_target;
+        duration const base =
+            unready ? options_.unready_retry_after : options_.busy_retry_after;
+        // Spread, so that refused clients do not all return at once.
+        refusal.retry_after = std::chrono::duration_cast<duration>(
+            base * (0.75 + 0.5 * random_.unit()));
+    }
+    port_.answer(request, std::move(refusal));
+}
+
+void request_engine::details::refuse_unadmitted(request_handle request,
+                                                error_kind error)
+{
+    request_story story;
+    story.outcome = answer_of(error).code;
+    story.version = catalogue_ ? catalogue_->version() : 0;
+    refuse(request, request_type::unrouted, error);
+    port_.log_request(request, story);
+}
+
+void request_engine::details::submit(client_request const& request,
+                                     time_point now)
+{
+    if (!catalogue_)
+    {
+        refuse_unadmitted(request.handle, error_kind::not_ready);
+        return;
+    }
+    route const* on = catalogue_->find(request.host, request.path);
+    if (on == nullptr)
+    {
+        refuse_unadmitted(request.handle, error_kind::unknown_path);
+        return;
+    }
+    if (requests_.size() >= options_.max_in_progress)
+    {
+        refuse_unadmitted(request.handle, error_kind::overloaded);
+        return;
+    }
+    admit(request, *on, now);
+}
+
+std::string const& request_engine::details::choose_service(route const& on)
+{
+    double total = 0;
+    for (auto const& part : on.split)
+    {
+        total += part.weight;
+    }
+    double at = random_.unit() * total;
+    for (auto const& part : on.split)
+    {
+        at -= part.weight;
+        if (at < 0)
+        {
+            return part.service;
+        }
+    }
+    return on.split.back().service;
+}
+
+void request_engine::details::admit(client_request const& request,
+                                    route const& on, time_point now)
+{
+    running_request r;
+    r.handle = request.handle;
+    r.catalogue = catalogue_;
+    r.on = &on;
+    r.arrived = now;
+    duration wait = on.timeout;
+    duration spent{};
+    if (request.time_left > duration::zero())
+    {
+        wait = std::min(wait, request.time_left);
+        spent = statistics(on).spent_before(request.time_left);
+    }
+    r.deadline = now + wait;
+    r.settle_at =
+        now + std::max(on.latency_objective - spent - options_.answer_margin,
+                       on.latency_objective / 4);
+    if (on.scatters())
+    {
+        for (auto const& service : on.shards)
+        {
+            r.shards.push_back({.service = service});
+        }
+    }
+    else
+    {
+        r.shards.push_back({.service = choose_service(on)});
+    }
+    int reachable = 0;
+    for (auto const& s : r.shards)
+    {
+        budget(s.service).count_request(now);
+        reachable += book_.has_usable(s.service) ? 1 : 0;
+    }
+    if (reachable < needed(r))
+    {
+        refuse(r.handle, r.type(), error_kind::no_target);
+        port_.log_request(r.handle,
+                          story(r, story_kind::failed,
+                                answer_of(error_kind::no_target).code, now));
+        return;
+    }
+    auto& running = requests_.emplace(r.handle, std::move(r)).first->second;
+    timers_.push(
+        {running.deadline, timer_kind::request_expires, running.handle});
+    if (on.scatters() && running.settle_at < running.deadline)
+    {
+        timers_.push(
+            {running.settle_at, timer_kind::request_settles, running.handle});
+    }
+    for (std::size_t i = 0; i < running.shards.size(); ++i)
+    {
+        auto& s = running.shards[i];
+        if (!send(running, i, false, now) && s.now == shard_state::waiting)
+        {
+            s.now = shard_state::lost;
+            s.cause = "no target";
+        }
+    }
+    settle(running, now);
+    release(request.handle);
+}
+
+} // namespace kumquatramp::serving
--- /dev/null
+++ b/serving/src/details/engine_replies.cpp
@@ -0,0 +1,160 @@
+// What replies teach, and what they settle.
+#include "details/engine_details.hpp"
+#include <algorithm>
+#include <serving/client_answer.hpp>
+#include <serving/fleet_size.hpp>
+#include <serving/target_book.hpp>
+
+namespace kumquatramp::serving
+{
+
+namespace
+{
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Statuses with which this system promises that nothing has run.
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+void request_engine::details::learn(running_attempt const& a,
+                                    target_reply const& reply,
+                                    running_request const* r, time_point now)
+{
+    target& t = *a.to;
+    --t.in_flight;
+    t.overdue -= a.overdue ? 1 : 0;
+    if (reply.busy && r != nullptr)
+    {
+        book_.report_load(t, *reply.busy, statistics(*r->on).latency.usual(),
+                          r->on->latency_objective, now);
+    }
+    if (reply.misdirected)
+    {
+        book_.mark_misdirected(t, now);
+    }
+    if (reply.leaving)
+    {
+        book_.mark_leaving(t, now);
+    }
+    bool const good = reply.kind == reply_kind::answered && reply.stamped &&
+                      reply.status < 500;
+    if (!good)
+    {
+        bool const own_doing =
+            (a.abandoned && now < a.deadline) ||
+            (reply.kind == reply_kind::not_sent && reply.cause[0] == '\0');
+        if (!own_doing)
+        {
+            book_.count_failure(t, now);
+        }
+        return;
+    }
+    if (r == nullptr)
+    {
+        return;
+    }
+    auto& latency = statistics(*r->on).latency;
+    duration const took = now - a.started;
+    book_.count_success(t, took, latency.usual(), now);
+    latency.add(took);
+}
+
+void request_engine::details::on_reply(attempt_handle attempt,
+                                       target_reply& reply, time_point now)
+{
+    auto const found = attempts_.find(attempt);
+    if (found == attempts_.end())
+    {
+        return;
+    }
+    running_attempt const a = found->second;
+    attempts_.erase(found);
+    auto const entry = requests_.find(a.request);
+    running_request* r = entry == requests_.end() ? nullptr : &entry->second;
+    learn(a, reply, r, now);
+    if (r == nullptr)
+    {
+        return;
+    }
+    shard_progress& s = r->shards[a.shard];
+    --s.outstanding;
+    --r->outstanding;
+    auto const tried =
+        std::find_if(s.tries.begin(), s.tries.end(),
+                     [&](target_try const& t) { return t.to == a.to; });
+    if (reply.kind == reply_kind::not_executed)
+    {
+        tried->state = try_state::refused;
+    }
+    else if (reply.kind == reply_kind::not_sent)
+    {
+        tried->state = try_state::unsent;
+    }
+    else
+    {
+        s.may_have_run = true;
+    }
+    if (!r->finished && s.now == shard_state::waiting)
+    {
+        take_reply(*r, s, attempt, reply, now);
+    }
+    release(a.request);
+}
+
+void request_engine::details::take_reply(running_request& r, shard_progress& s,
+                                         attempt_handle attempt,
+                                         target_reply& reply, time_point now)
+{
+    bool const good = reply.kind == reply_kind::answered && reply.stamped &&
+                      is_success(reply.status);
+    if (good && r.on->scatters())
+    {
+        s.now = shard_state::answered;
+        s.stamp = std::move(reply.stamp);
+        s.part = std::move(reply.body);
+        settle(r, now);
+        return;
+    }
+    s.cause = reply.cause;
+    s.status = reply.status;
+    if (!r.on->scatters() && relay(r, attempt, reply, now))
+    {
+        return;
+    }
+    retry_or_lose(r, static_cast<std::size_t>(&s - r.shards.data()), now);
+}
+
+bool request_engine::details::relay(running_request& r, attempt_handle attempt,
+                                    target_reply const& reply, time_point now)
+{
+    if (reply.kind != reply_kind::answered || !reply.stamped ||
+        promises_not_run(reply.status))
+    {
+        return false;
+    }
+    shard_progress& s = r.shards.front();
+    bool const server_fault = reply.status >= 500;
+    if (server_fault && (s.outstanding > 0 || may_repeat(r, s)))
+    {
+        return false;
+    }
+    s.now =
+        is_success(reply.status) ? shard_state::answered : shard_state::lost;
+    client_answer relayed;
+    relayed.what = client_answer::form::relayed;
+    relayed.type = r.type();
+    relayed.attempt = attempt;
+    port_.answer(r.handle, std::move(relayed));
+    finish(r, server_fault, "relayed", now);
+    return true;
+}
+
+} // namespace kumquatramp::serving
--- a/transport/include/transport/caller_port.hpp
+++ b/transport/include/transport/caller_port.hpp
@@ -54,8 +54,9 @@
     void on_client_gone(exchange at) override;
     std::string rejection(error_kind kind) override;
 
-    void answer_query(exchange at, message& request, std::string_view name);
-    void answer_once(exchange at, message& request, std::string_view name);
+    /// `once`: a non-idempotent request, which needs an id.
+    void answer_request(exchange at, message& request, std::string_view name,
+                        bool once);
     void answer_outcome(exchange at, message const& request,
                         std::string_view id, bool cancel);
     void answer_new_id(exchange at, message const& request);
--- a/transport/src/caller_port.cpp
+++ b/transport/src/caller_port.cpp
@@ -187,12 +187,12 @@
     else if (auto const query = segment(path, "/v1/services/", "/query");
              query && post)
     {
-        answer_query(at, request, *query);
+        answer_request(at, request, *query, false);
     }
     else if (auto const once = segment(path, "/v1/services/", "/requests");
              once && post)
     {
-        answer_once(at, request, *once);
+        answer_request(at, request, *once, true);
     }
     else
     {
@@ -211,8 +211,8 @@
     }
 }
 
-void caller_port::answer_query(exchange at, message& request,
-                               std::string_view name)
+void caller_port::answer_request(exchange at, message& request,
+                                 std::string_view name, bool once)
 {
     auto const trace = trace_of(request);
     auto wanted = read_request(request, name);
@@ -221,28 +221,19 @@
         refuse(at, trace, wanted.error());
         return;
     }
-    run(at, std::move(wanted.value()), trace, "");
-}
-
-void caller_port::answer_once(exchange at, message& request,
-                              std::string_view name)
-{
-    auto const trace = trace_of(request);
-    auto wanted = read_request(request, name);
-    if (!wanted)
+    std::string text;
+    if (once)
     {
-        refuse(at, trace, wanted.error());
-        return;
-    }
-    std::string const text(request.header("Kumquatramp-Request-Id"));
-    auto const id = service_.decode_request_id(text);
-    if (!id)
-    {
-        refuse(at, trace, id.error());
-        return;
+        text = request.header("Kumquatramp-Request-Id");
+        auto const id = service_.decode_request_id(text);
+        if (!id)
+        {
+            refuse(at, trace, id.error());
+            return;
+        }
+        wanted.value().once = id.value();
     }
-    wanted.value().once = id.value();
-    run(at, std::move(wanted.value()), trace, text);
+    run(at, std::move(wanted.value()), trace, std::move(text));
 }
 
 void caller_port::run(exchange at, caller_request wanted,
--- a/transport/tests/admin_server_test.cpp
+++ b/transport/tests/admin_server_test.cpp
@@ -4,6 +4,7 @@
 #include <details/library_answer.hpp>
 #include <eventloop/boot_clock.hpp>
 #include <raw_server.hpp>
+#include <small_port.hpp>
 #include <transport/admin_server.hpp>
 
 using namespace kumquatramp;
@@ -14,7 +15,7 @@
 
 struct fixture
 {
-    explicit fixture(port_options options = small())
+    explicit fixture(port_options options = tests::small_port())
         : server(options, time)
     {
         server.routes().Get(
@@ -26,18 +27,6 @@
         port = server.start({"127.0.0.1", 0}).value();
     }
 
-    static port_options small()
-    {
-        port_options options;
-        options.workers = 2;
-        options.max_queued = 2;
-        options.max_body_bytes = 1000;
-        options.limits = {2000, 20, 3000};
-        options.receive_timeout = 200ms;
-        options.idle_timeout = 200ms;
-        return options;
-    }
-
     std::string post(std::string const& path, std::string const& body,
                      std::string const& headers = {}) const
     {
@@ -100,7 +89,7 @@
 
 TEST_CASE("past the bound on connections an operator is refused at once")
 {
-    auto options = fixture::small();
+    auto options = tests::small_port();
     options.max_connections = 1;
     options.idle_timeout = 5s;
     fixture f(options);
--- a/transport/tests/caller_port_test.cpp
+++ b/transport/tests/caller_port_test.cpp
@@ -6,6 +6,7 @@
 #include <future>
 #include <mutex>
 #include <raw_server.hpp>
+#include <small_port.hpp>
 #include <transport/caller_port.hpp>
 #include <transport/caller_service.hpp>
 
@@ -93,7 +94,7 @@
 /// The port on a loop of its own thread.
 struct fixture
 {
-    explicit fixture(port_options options = small())
+    explicit fixture(port_options options = tests::small_port())
         : callers(loop, time, options, service)
     {
         port = callers.start({"127.0.0.1", 0}).value();
@@ -106,18 +107,6 @@
         thread.join();
     }
 
-    static port_options small()
-    {
-        port_options options;
-        options.workers = 2;
-        options.max_queued = 2;
-        options.max_body_bytes = 1000;
-        options.limits = {2000, 20, 3000};
-        options.receive_timeout = 200ms;
-        options.idle_timeout = 200ms;
-        return options;
-    }
-
     static std::string post_bytes(std::string const& path,
                                   std::string const& body,
                                   std::string const& headers = {})
@@ -204,7 +193,7 @@
 
 TEST_CASE("past the bound on requests in progress a caller is refused at once")
 {
-    auto options = fixture::small();
+    auto options = tests::small_port();
     options.workers = 1;
     options.max_queued = 1;
     fixture f(options);
@@ -318,7 +307,7 @@
 
 TEST_CASE("past the bound on connections a caller is refused at once")
 {
-    auto options = fixture::small();
+    auto options = tests::small_port();
     options.max_connections = 1;
     options.idle_timeout = 5s;
     fixture f(options);
