State in a request's log line how old its configuration version is

The line had the version that decided, but not how long ago the store had last confirmed it, so a host that no longer follows the store, a store call that hangs and a refused configuration looked alike. version_age_ms tells them apart.

--- a/host/src/host_log.cpp
+++ b/host/src/host_log.cpp
@@ -109,10 +109,14 @@
     write(
         events[static_cast<int>(summary.kind)],
         fmt::format(
-            R"("id":{},"outcome":"{}","route":{},"version":{},"after_ms":{},)"
+            R"("id":{},"outcome":"{}","route":{},"version":{},)"
+            R"("version_age_ms":{},"after_ms":{},)"
             R"("shards":{},"missing":{},"details":{})",
             json_text(id), summary.outcome, json_text(summary.route),
             summary.version,
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                summary.version_age)
+                .count(),
             std::chrono::duration_cast<std::chrono::milliseconds>(summary.took)
                 .count(),
             summary.shards, summary.missing, json_text(summary.details)));
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -69,8 +69,10 @@
                  {.answered =
                       [this](registry::store_answer const& a)
                   {
+                      time_point const now = time_.now();
                       store_.on_call_ended();
-                      follower_.on_answer(a, time_.now());
+                      follower_.on_answer(a, now);
+                      front_.engine().confirm_catalogue(now);
                       tick_store_follower();
                   },
                   .failed =
--- a/host/tests/host_log_test.cpp
+++ b/host/tests/host_log_test.cpp
@@ -57,6 +57,7 @@
     summary.outcome = "overloaded";
     summary.route = "r-\"1\"\n\x01\xff";
     summary.version = 7;
+    summary.version_age = 4500ms;
     summary.took = 12ms;
     summary.shards = 1;
     summary.missing = 1;
@@ -98,6 +99,7 @@
     CHECK(lines[0]["id"] == "id \"7\"\x02");
     CHECK(lines[0]["outcome"] == "overloaded");
     CHECK(lines[0]["version"] == 7);
+    CHECK(lines[0]["version_age_ms"] == 4500);
     CHECK(lines[0]["after_ms"] == 12);
     CHECK(lines[0]["missing"] == 1);
     CHECK(lines[0]["details"].asString().find("refused-by i-1") !=
--- a/serving/include/serving/request_engine.hpp
+++ b/serving/include/serving/request_engine.hpp
@@ -52,6 +52,8 @@
     /// Applies a configuration. Returns false and ignores it if its version is
     /// not newer than the one in force.
     bool set_catalogue(std::shared_ptr<route_catalogue const> catalogue);
+    /// The registry has answered: the configuration in force is the newest.
+    void confirm_catalogue(time_point now);
     /// The configuration in force, or null before the first one.
     route_catalogue const* catalogue() const;
     void set_options(serving_options const& options);
--- a/serving/include/serving/request_summary.hpp
+++ b/serving/include/serving/request_summary.hpp
@@ -23,6 +23,9 @@
     std::string_view outcome;  ///< static text; listed in docs/OPERATIONS.md
     std::string_view route;    ///< empty if none matched
     std::uint64_t version = 0; ///< of the configuration applied; 0: none
+    /// Time since the registry last confirmed that the configuration is the
+    /// newest.
+    duration version_age{};
     duration took{};
     int shards = 0;
     int missing = 0;     ///< shards without a part in the answer
--- a/serving/src/details/engine_admission.cpp
+++ b/serving/src/details/engine_admission.cpp
@@ -28,11 +28,13 @@
 }
 
 void request_engine::details::refuse_unadmitted(request_handle request,
-                                                error_kind error)
+                                                error_kind error,
+                                                time_point now)
 {
     request_summary summary;
     summary.outcome = answer_of(error).code;
     summary.version = catalogue_ ? catalogue_->version() : 0;
+    summary.version_age = now - confirmed_at_;
     refuse(request, request_type::unrouted, error);
     port_.log_request(request, summary);
 }
@@ -42,18 +44,18 @@
 {
     if (!catalogue_)
     {
-        refuse_unadmitted(request.handle, error_kind::not_ready);
+        refuse_unadmitted(request.handle, error_kind::not_ready, now);
         return;
     }
     route const* matched_route = catalogue_->find(request.host, request.path);
     if (matched_route == nullptr)
     {
-        refuse_unadmitted(request.handle, error_kind::unknown_path);
+        refuse_unadmitted(request.handle, error_kind::unknown_path, now);
         return;
     }
     if (requests_.size() >= options_.max_in_progress)
     {
-        refuse_unadmitted(request.handle, error_kind::overloaded);
+        refuse_unadmitted(request.handle, error_kind::overloaded, now);
         return;
     }
     admit(request, *matched_route, now);
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -30,6 +30,7 @@
     std::optional<double> least_budget_left(time_point now);
 
     std::shared_ptr<route_catalogue const> catalogue_;
+    time_point confirmed_at_{}; ///< last confirm_catalogue
     engine_counters counters_;
     serving_options options_;
     timer_queue timers_;
@@ -39,7 +40,8 @@
     using shard_state = shard_progress::state;
 
     void refuse(request_handle request, request_type type, error_kind error);
-    void refuse_unadmitted(request_handle request, error_kind error);
+    void refuse_unadmitted(request_handle request, error_kind error,
+                           time_point now);
     void admit(client_request const& request, route const& matched_route,
                time_point now);
     std::string const& choose_service(route const& matched_route);
--- a/serving/src/request_engine.cpp
+++ b/serving/src/request_engine.cpp
@@ -27,6 +27,11 @@
     return true;
 }
 
+void request_engine::confirm_catalogue(time_point now)
+{
+    details_->confirmed_at_ = now;
+}
+
 route_catalogue const* request_engine::catalogue() const
 {
     return details_->catalogue_.get();
--- a/serving/tests/request_summary_test.cpp
+++ b/serving/tests/request_summary_test.cpp
@@ -64,6 +64,20 @@
 
 } // namespace
 
+TEST_CASE("a summary states how long ago the registry confirmed its version")
+{
+    engine_fixture fixture;
+    fixture.add_targets("s0", {"zone-a"});
+    fixture.configure({"s0"}, 1.0);
+    fixture.engine.confirm_catalogue(fixture.now);
+    fixture.advance(7s);
+    fixture.submit(1, "/unknown/x");
+    CHECK(fixture.summaries.at(1).version_age == 7s);
+    fixture.submit(2, "/s0/x");
+    fixture.advance(2s);
+    CHECK(fixture.summaries.at(2).version_age == 7800ms);
+}
+
 TEST_CASE("the summary of every failed request names the cause by shard")
 {
     auto const seed = GENERATE(range(1, 21));
