Follow the store until clients stop, and refuse requests on standby

Callers saw (CONFIG): 404 for a route that had been added and acknowledged more than the apply time before, from a host that had left the serving set.

Cause: a host stopped following the store 15 s after it had left the serving set, and went on answering by the catalogue and targets that it had last seen. Other hosts with another view of the fleet still named it to clients, and clients keep open connections.

Change: fleet/serving_role decides from the set and from the requests received. On standby the configuration is withdrawn (503 with Retry-After at once) and its targets become unlisted.

--- a/host/src/query_host_details.hpp
+++ b/host/src/query_host_details.hpp
@@ -13,6 +13,7 @@
 #include <eventloop/boot_clock.hpp>
 #include <eventloop/datagram_socket.hpp>
 #include <fleet/fleet_view.hpp>
+#include <fleet/serving_role.hpp>
 #include <host/front_service.hpp>
 #include <host/host_log.hpp>
 #include <host/platform_adapter.hpp>
@@ -58,6 +59,7 @@
     void begin_shutdown();
     void check_shutdown(time_point now);
     void update_serving_role(time_point now);
+    void stand_by(time_point now);
     void measure_lateness(time_point now);
     void check_settings(time_point now);
     void reload(char const* reason);
@@ -97,8 +99,7 @@
     std::set<std::string, std::less<>> listed_targets_;
     std::set<std::string> listed_evacuations_;
 
-    bool serving_ = false; ///< accepts clients; otherwise on standby
-    time_point last_in_serving_set_{}; ///< last time in the serving set
+    fleet::serving_role role_;
     time_point last_sweep_{};
     double lateness_ms_ = 0; ///< of the sweep timer, smoothed
 
--- a/host/src/query_host_lifecycle.cpp
+++ b/host/src/query_host_lifecycle.cpp
@@ -11,10 +11,6 @@
 {
 
 constexpr duration settings_check_interval = 2s;
-/// A host goes on standby only after this time outside the serving set: longer
-/// than clients keep a directory answer, and longer than the restart of another
-/// host takes.
-constexpr duration standby_delay = 15s;
 /// Timer lateness above busy_lateness_ms marks the host as busy, since work
 /// waits for the processor; at idle_lateness_ms or below the mark is removed.
 constexpr double busy_lateness_ms = 20;
@@ -40,27 +36,44 @@
     {
         return;
     }
-    if (fleet_.serves())
+    using phase = fleet::serving_role::phase;
+    phase const before = role_.current();
+    phase const present =
+        role_.update(fleet_.serves(), front_.counters().requests, now);
+    if (present == before)
     {
-        last_in_serving_set_ = now;
-        if (!serving_)
+        return;
+    }
+    switch (present)
+    {
+    case phase::serving:
+        log_.note("host.serving", settings_.name, "joined the serving set");
+        if (before == phase::standby)
         {
-            serving_ = true;
-            log_.note("host.serving", settings_.name, "joined the serving set");
             follower_.resume(now);
             tick_store_follower();
         }
-        return;
-    }
-    if (serving_ && now - last_in_serving_set_ >= standby_delay)
-    {
-        serving_ = false;
-        follower_.pause();
+        break;
+    case phase::withdrawing:
+        log_.note("host.withdrawing", settings_.name,
+                  "left the serving set; serves the clients that still come");
+        break;
+    case phase::standby:
         log_.note("host.standby", settings_.name,
-                  "left the serving set; no longer follows the store");
+                  "no longer follows the store; refuses requests");
+        stand_by(now);
+        break;
     }
 }
 
+void query_host::details::stand_by(time_point now)
+{
+    follower_.pause();
+    // Without the store, configuration and targets would grow stale.
+    front_.engine().withdraw_catalogue();
+    targets_.retain({}, now);
+}
+
 void query_host::details::measure_lateness(time_point now)
 {
     if (last_sweep_ != time_point{})
@@ -78,8 +91,9 @@
 
 bool query_host::details::ready()
 {
-    return !leaving_since_ && serving_ && follower_.synchronized() &&
-           front_.engine().catalogue() != nullptr;
+    return !leaving_since_ &&
+           role_.current() == fleet::serving_role::phase::serving &&
+           follower_.synchronized() && front_.engine().catalogue() != nullptr;
 }
 
 void query_host::details::await_signal()
--- a/host/src/query_host_store.cpp
+++ b/host/src/query_host_store.cpp
@@ -62,10 +62,11 @@
         log_.note("configuration.accepted", version, "now in effect");
         fleet_.set_ready(ready());
     }
-    else if (catalogue->version() < front_.engine().catalogue()->version())
+    else if (auto const* active = front_.engine().catalogue();
+             active == nullptr || catalogue->version() < active->version())
     {
         log_.note("configuration.refused", version,
-                  "older than the active version");
+                  "older than a version that was active before");
     }
 }
 
--- a/serving/include/serving/request_engine.hpp
+++ b/serving/include/serving/request_engine.hpp
@@ -50,8 +50,11 @@
     ~request_engine();
 
     /// Applies a configuration. Returns false and ignores it if its version is
-    /// not newer than the one in force.
+    /// not newer than the one in force, or older than one that was withdrawn.
     bool set_catalogue(std::shared_ptr<route_catalogue const> catalogue);
+    /// Ends the use of the configuration, because it is no longer kept up to
+    /// date. New requests are refused until the next set_catalogue.
+    void withdraw_catalogue();
     /// The registry has answered: the configuration in force is the newest.
     void confirm_catalogue(time_point now);
     /// The configuration in force, or null before the first one.
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -30,7 +30,8 @@
     std::optional<double> least_budget_left(time_point now);
 
     std::shared_ptr<route_catalogue const> catalogue_;
-    time_point confirmed_at_{}; ///< last confirm_catalogue
+    std::uint64_t newest_version_ = 0; ///< ever in force; never decreases
+    time_point confirmed_at_{};        ///< last confirm_catalogue
     engine_counters counters_;
     serving_options options_;
     timer_queue timers_;
--- a/serving/src/request_engine.cpp
+++ b/serving/src/request_engine.cpp
@@ -19,14 +19,21 @@
     std::shared_ptr<route_catalogue const> catalogue)
 {
     auto& present = details_->catalogue_;
-    if (present && catalogue->version() <= present->version())
+    if ((present && catalogue->version() <= present->version()) ||
+        catalogue->version() < details_->newest_version_)
     {
         return false;
     }
     present = std::move(catalogue);
+    details_->newest_version_ = present->version();
     return true;
 }
 
+void request_engine::withdraw_catalogue()
+{
+    details_->catalogue_.reset();
+}
+
 void request_engine::confirm_catalogue(time_point now)
 {
     details_->confirmed_at_ = now;
--- a/serving/tests/request_engine_test.cpp
+++ b/serving/tests/request_engine_test.cpp
@@ -343,6 +343,31 @@
           nullptr);
 }
 
+// Guards against answers by a configuration that the host no longer keeps up to
+// date.
+TEST_CASE("a withdrawn configuration decides no request and is replaced by the "
+          "same or a newer version only")
+{
+    engine_fixture fixture;
+    fixture.add_targets("s0", zones);
+    fixture.configure({"s0"}, 1.0, 7);
+    fixture.submit(1, "/s0/x");
+    fixture.engine.withdraw_catalogue();
+    fixture.submit(2, "/s0/x");
+    fixture.submit(3, "/added/x");
+    CHECK(fixture.answers.at(2).error == error_kind::not_ready);
+    CHECK(fixture.answers.at(2).retry_after);
+    CHECK(fixture.answers.at(3).error == error_kind::not_ready);
+    // A request that was admitted before is still answered.
+    fixture.reply_all_but();
+    CHECK(fixture.answers.at(1).what == form::relayed);
+    fixture.configure({"s0"}, 1.0, 6);
+    CHECK(fixture.engine.catalogue() == nullptr);
+    fixture.configure({"s0"}, 1.0, 7);
+    REQUIRE(fixture.engine.catalogue() != nullptr);
+    CHECK(fixture.engine.catalogue()->version() == 7);
+}
+
 TEST_CASE("a query keeps the shards of the configuration under which it was "
           "admitted")
 {
