Bound the time without contact to the store by the contact bound

A watch waited for the whole contact bound (4 s, 5 s grown) and was given up 1 s later, so a host whose answer was lost without a sign lacked configurations for up to 6.2 s.

The wait is now the bound less the time after which the call fails and the time that the next call takes. The test fails with the former wait for bounds of 2, 4 and 5 s.

--- a/host/include/host/host_settings.hpp
+++ b/host/include/host/host_settings.hpp
@@ -38,8 +38,8 @@
     /// Time within which a leaving target stops getting new requests.
     duration drain_bound = 3s;
     duration shutdown_grace = 6s; ///< time from SIGTERM to SIGKILL
-    /// Longest wait of a store watch. A watch without changes returns after
-    /// this time, which confirms that the host is in contact with the store.
+    /// Time within which the host notices that it has lost contact with the
+    /// store and regains it; a watch without changes returns well before.
     duration contact_bound = 4s;
     duration directory_ttl = 3s; ///< longest lifetime of a directory answer
 };
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -83,7 +83,7 @@
                       tick_store_follower();
                   }}),
              time_)
-    , follower_({.watch_wait = settings_.contact_bound,
+    , follower_({.contact_bound = settings_.contact_bound,
                  .min_change_interval =
                      scaled(settings_.drain_bound, change_interval_share)},
                 store_, *this, random_, log_)
--- a/registry/include/registry/store_follower.hpp
+++ b/registry/include/registry/store_follower.hpp
@@ -16,9 +16,10 @@
 
 struct follower_options
 {
-    /// Maximum wait of a watch call. A lost answer is noticed only after
-    /// this time.
-    duration watch_wait = 4s;
+    /// Time within which a host must notice that it has lost contact with the
+    /// store and regain it. Limits the wait of a watch, whose answer may be
+    /// lost without a sign.
+    duration contact_bound = 4s;
     /// Minimum time from an answer with changes to the next call, so that one
     /// call returns several changes when they are frequent.
     duration min_change_interval = 350ms;
--- a/registry/include/registry/store_port.hpp
+++ b/registry/include/registry/store_port.hpp
@@ -14,6 +14,9 @@
 class store_port
 {
 public:
+    /// A call that gets no answer fails this long after its wait at the latest.
+    static constexpr duration response_margin = 1s;
+
     store_port() = default;
     store_port(store_port const&) = delete;
     store_port& operator=(store_port const&) = delete;
--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -16,6 +16,18 @@
 constexpr duration initial_backoff = 150ms;
 constexpr duration max_backoff = 1s;
 
+/// Part of the contact bound for the call after one that got no answer: the
+/// first back-off, a new connection and the answer.
+constexpr duration recontact_time = 500ms;
+constexpr duration min_watch_wait = 500ms;
+
+duration watch_wait(duration contact_bound)
+{
+    return std::max<duration>(contact_bound - store_port::response_margin -
+                                  recontact_time,
+                              min_watch_wait);
+}
+
 } // namespace
 
 store_follower::store_follower(follower_options options, store_port& port,
@@ -40,7 +52,7 @@
     ++calls_;
     if (!listing_)
     {
-        port_.watch(revision_, options_.watch_wait);
+        port_.watch(revision_, watch_wait(options_.contact_bound));
         return;
     }
     if (last_key_.empty())
--- a/registry/tests/store_follower_test.cpp
+++ b/registry/tests/store_follower_test.cpp
@@ -20,13 +20,15 @@
     {
         calls.push_back("list " + after);
     }
-    void watch(std::uint64_t revision, duration) override
+    void watch(std::uint64_t revision, duration wait) override
     {
         calls.push_back("watch " + std::to_string(revision));
+        last_wait = wait;
     }
     void cancel() override { calls.emplace_back("cancel"); }
 
     std::vector<std::string> calls;
+    duration last_wait{};
 };
 
 class recording_sink final : public store_sink
@@ -157,6 +159,23 @@
                      "store.regained") == 1);
 }
 
+// Guards against a host that lacks new configurations for longer than the
+// contact bound after the answer to its watch was lost.
+TEST_CASE("a watch whose answer is lost is repeated within the contact bound")
+{
+    duration const bound = GENERATE(2s, 4s, 5s);
+    fixture f;
+    store_follower follower({.contact_bound = bound}, f.port, f.sink, f.random,
+                            f.log);
+    follower.tick(f.now);
+    follower.on_answer({{}, 10, false}, f.now);
+    time_point const last_contact = f.now;
+    follower.tick(f.now);
+    f.now += f.port.last_wait + store_port::response_margin;
+    follower.on_failure(store_failure::unavailable, "timed out", f.now);
+    CHECK(follower.next_due() - last_contact < bound);
+}
+
 TEST_CASE("a listing that fails midway resumes after its last key")
 {
     fixture f;
