Keep to the rate limit that a target states

Callers saw nothing yet; targets that state a limit (Server-Limit) got more than it from all hosts together (LIMIT).

Cause: nothing read the header. Queues are short at such rates, so the share of sends to a full target did not act either.

Change: serving/stated_rate, a token bucket a target and host; hosts divide the limit by their number and rank without messages. Each send draws on it. A request for which too few shards have room is refused before any send, with the wait as Retry-After. target.limited, target.unlimited and a metric tell of it.

--- a/build.sh
+++ b/build.sh
@@ -47,7 +47,7 @@
 # deploy/.
 check_platform_names() {
     local names='X-Kumquatramp|op/config|op/evacuate|kv-watch|kv-range|kv-key'
-    names+='|"KUMQUATRAMP_CONFIG"|CurrentRev|TrafficSplit|WarmupLeftMs'
+    names+='|Server-(Limit|Leaving)|"KUMQUATRAMP_CONFIG"|CurrentRev|TrafficSplit|WarmupLeftMs'
     if git grep -n -E "$names" -- '*.cpp' '*.hpp' ':!platform/'; then
         echo "platform names are used outside platform/"
         exit 1
--- a/host/bench/query_path.cpp
+++ b/host/bench/query_path.cpp
@@ -45,9 +45,17 @@
 constexpr std::uint16_t front_port = 23'110;
 constexpr std::uint16_t first_target_port = 23'120;
 
-host::wire_profile const wire{"X-Request", "X-Left",   "X-Instance",
-                              "X-Stamp",   "X-Load",   "X-Refused",
-                              "X-Parts",   "X-Missing"};
+host::wire_profile const wire{
+    .request_id = "X-Request",
+    .time_left_ms = "X-Left",
+    .expected_instance = "X-Instance",
+    .stamp = "X-Stamp",
+    .load = "X-Load",
+    .rate_limit = "X-Limit",
+    .not_executed = "X-Refused",
+    .part_stamps = "X-Parts",
+    .missing_parts = "X-Missing",
+};
 
 class single_host_fleet final : public serving::fleet_size
 {
--- a/host/include/host/wire_profile.hpp
+++ b/host/include/host/wire_profile.hpp
@@ -16,6 +16,7 @@
     std::string expected_instance;
     std::string stamp;         ///< a target's signature on its answer
     std::string load;          ///< a target's load as "running,waiting,slots"
+    std::string rate_limit;    ///< requests/s that a target accepts in all
     std::string not_executed;  ///< the target did not run the request
     std::string part_stamps;   ///< signatures of the merged parts
     std::string missing_parts; ///< number of shards missing from the answer
--- a/host/src/front_serialization.cpp
+++ b/host/src/front_serialization.cpp
@@ -2,6 +2,7 @@
 #include "front_exchange.hpp"
 #include "parse_number.hpp"
 #include <base/error_answer.hpp>
+#include <cmath>
 #include <eventloop/http_message.hpp>
 #include <eventloop/http_response.hpp>
 #include <fmt/format.h>
@@ -34,6 +35,13 @@
     return *running + *waiting;
 }
 
+/// Requests/s; nothing if the text is not a finite number of at least 0.
+std::optional<double> parse_rate_limit(std::string_view text)
+{
+    auto const rate = parse_number<double>(text);
+    return rate && std::isfinite(*rate) && *rate >= 0 ? rate : std::nullopt;
+}
+
 } // namespace
 
 std::string front_service::serialize_error(error_kind kind,
@@ -67,6 +75,7 @@
     reply.status = answer->status;
     reply.leaving = !answer->keep_alive;
     reply.busy = parse_target_load(answer->header(wire_.load));
+    reply.rate_limit = parse_rate_limit(answer->header(wire_.rate_limit));
     reply.misdirected = answer->status == 421;
     if (reply.misdirected || answer->has_header(wire_.not_executed))
     {
--- a/host/src/query_host_endpoints.cpp
+++ b/host/src/query_host_endpoints.cpp
@@ -100,6 +100,7 @@
     in_state("evacuated", states.evacuated);
     in_state("failing", states.failing);
     in_state("cold", states.cold);
+    in_state("limited", states.limited);
     in_state("full", states.full);
     in_state("ready", states.ready);
 }
--- /dev/null
+++ b/serving/include/serving/stated_rate.hpp
@@ -0,0 +1,57 @@
+// This host's share of a rate limit that a target states in its answers.
+#ifndef KUMQUATRAMP_SERVING_STATED_RATE_HPP
+#define KUMQUATRAMP_SERVING_STATED_RATE_HPP
+
+#include <base/time.hpp>
+#include <optional>
+
+namespace kumquatramp::serving
+{
+
+/// This host among those that divide a target's limit.
+struct fleet_place
+{
+    int rank = 0;  ///< of this host for the target, from 0
+    int hosts = 1; ///< that may be sending; at least 1
+};
+
+/// A token bucket. The limit holds for the sum over all hosts, which divide it
+/// without communication: each takes an equal part, and if the limit is small,
+/// only the hosts of lowest rank take part. In any window the bursts of all
+/// hosts together add little more than one second of the limit.
+class stated_rate
+{
+public:
+    /// The target's latest answer states this limit in requests/s over all
+    /// hosts, or none.
+    void update(std::optional<double> per_second, time_point now);
+
+    /// Whether a limit is in force. One that has not been stated again for some
+    /// time is forgotten, so that a host without a part learns of its end.
+    bool active(time_point now) const;
+
+    /// Time until this host may send; zero if it may now, `duration::max()` if
+    /// it has no part.
+    duration wait(fleet_place place, time_point now) const;
+
+    /// Records a send.
+    void spend(fleet_place place, time_point now);
+
+private:
+    struct part
+    {
+        double per_second = 0; ///< 0: this host has no part
+        double burst = 1;
+    };
+    part own_part(fleet_place place) const;
+    double tokens(part own, time_point now) const;
+
+    std::optional<double> limit_;
+    time_point stated_at_{};
+    double tokens_ = 0; ///< at tokens_at_; at most the burst
+    time_point tokens_at_{};
+};
+
+} // namespace kumquatramp::serving
+
+#endif
--- a/serving/include/serving/target.hpp
+++ b/serving/include/serving/target.hpp
@@ -3,6 +3,7 @@
 #define KUMQUATRAMP_SERVING_TARGET_HPP
 
 #include <base/time.hpp>
+#include <serving/stated_rate.hpp>
 #include <serving/target_record.hpp>
 
 namespace kumquatramp::serving
@@ -47,6 +48,9 @@
     /// reports a longer queue than it can serve in time.
     double admitted_share = 1.0;
 
+    /// Limit on the requests of all hosts that the target states.
+    stated_rate rate;
+
     /// Last load report of the target: requests running and waiting there.
     int reported_busy = 0;
     time_point reported_at{};
--- a/serving/include/serving/target_reply.hpp
+++ b/serving/include/serving/target_reply.hpp
@@ -27,6 +27,8 @@
     std::string stamp;
     std::string body;
     std::optional<int> busy; ///< reported running and waiting requests
+    /// Requests/s that the target accepts from all hosts together.
+    std::optional<double> rate_limit;
     /// Of broken and not_sent: what happened. Empty with not_sent if this host
     /// decided against the send.
     char const* cause = "";
--- a/serving/include/serving/target_states.hpp
+++ b/serving/include/serving/target_states.hpp
@@ -14,7 +14,8 @@
     int evacuated = 0;
     int failing = 0; ///< avoided after consecutive failures
     int cold = 0;
-    int full = 0; ///< receives only a share of the sends
+    int limited = 0; ///< states a limit on its requests per second
+    int full = 0;    ///< receives only a share of the sends
     int ready = 0;
 };
 
--- a/serving/include/serving/target_table.hpp
+++ b/serving/include/serving/target_table.hpp
@@ -6,6 +6,7 @@
 #include <base/time.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <serving/target.hpp>
 #include <serving/target_states.hpp>
 #include <set>
@@ -85,6 +86,11 @@
     void report_load(target& t, int busy, duration usual, duration objective,
                      time_point now);
 
+    /// Records the limit on its requests that the target states in an answer,
+    /// or that it states none.
+    void report_rate_limit(target& t, std::optional<double> per_second,
+                           time_point now);
+
     /// Decides at random, by the admitted share, whether to send to the target.
     bool admits(target const& t);
     /// The target announced that it closes its connections: avoids it briefly.
--- a/serving/src/details/engine_admission.cpp
+++ b/serving/src/details/engine_admission.cpp
@@ -8,8 +8,16 @@
 namespace kumquatramp::serving
 {
 
+namespace
+{
+
+/// Longest Retry-After: by then limits and the fleet may have changed.
+constexpr duration max_retry_after = 5s;
+
+} // namespace
+
 void request_engine::details::refuse(request_handle request, request_type type,
-                                     error_kind error)
+                                     error_kind error, duration min_retry_after)
 {
     client_answer refusal;
     refusal.type = type;
@@ -18,8 +26,9 @@
     {
         bool const unready =
             error == error_kind::not_ready || error == error_kind::no_target;
-        duration const base =
-            unready ? options_.unready_retry_after : options_.busy_retry_after;
+        duration const base = std::max(unready ? options_.unready_retry_after
+                                               : options_.busy_retry_after,
+                                       min_retry_after);
         // Jitter, so that refused clients do not all retry at once.
         refusal.retry_after = std::chrono::duration_cast<duration>(
             base * (0.75 + 0.5 * random_.unit()));
@@ -81,6 +90,19 @@
     return matched_route.split.back().service;
 }
 
+duration request_engine::details::coverage_wait(running_request const& r,
+                                                time_point now) const
+{
+    std::vector<duration> waits;
+    for (auto const& s : r.shards)
+    {
+        waits.push_back(service_wait(s.service, now));
+    }
+    auto const last = waits.begin() + (needed(r) - 1);
+    std::nth_element(waits.begin(), last, waits.end());
+    return *last;
+}
+
 void request_engine::details::admit(client_request const& request,
                                     route const& matched_route, time_point now)
 {
@@ -126,6 +148,16 @@
                                 answer_of(error_kind::no_target).code, now));
         return;
     }
+    if (duration const wait = coverage_wait(r, now); wait > duration::zero())
+    {
+        // Sends to the shards that have room would be wasted.
+        refuse(r.handle, r.type(), error_kind::overloaded,
+               std::min(wait, max_retry_after));
+        port_.log_request(
+            r.handle, summarize(r, summary_kind::failed,
+                                answer_of(error_kind::overloaded).code, now));
+        return;
+    }
     auto& running = requests_.emplace(r.handle, std::move(r)).first->second;
     timers_.push(
         {running.deadline, timer_kind::request_expires, running.handle});
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -40,7 +40,9 @@
 private:
     using shard_state = shard_progress::state;
 
-    void refuse(request_handle request, request_type type, error_kind error);
+    /// `min_retry_after` is the least time after which a return is useful.
+    void refuse(request_handle request, request_type type, error_kind error,
+                duration min_retry_after = duration::zero());
     void refuse_unadmitted(request_handle request, error_kind error,
                            time_point now);
     void admit(client_request const& request, route const& matched_route,
@@ -62,7 +64,17 @@
     bool can_skip_shard(running_request const& r) const;
     /// The target with the lowest failure share among those that refused the
     /// request and may be asked again, or null.
-    std::shared_ptr<target> best_refused_target(shard_progress const& s) const;
+    std::shared_ptr<target> best_refused_target(shard_progress const& s,
+                                                time_point now) const;
+    /// Time until this host may send to the target by the limit that it states.
+    duration rate_limit_wait(target const& t, time_point now) const;
+    fleet_place place_for(target const& t, time_point now) const;
+    /// Time until a target of the service may receive a request; zero if one
+    /// may now, `duration::max()` if that is unknown.
+    duration service_wait(std::string_view service, time_point now) const;
+    /// Time until enough shards of the request have a target that may receive
+    /// it.
+    duration coverage_wait(running_request const& r, time_point now) const;
     /// For a cold target, takes one send from this host's warm-up share; false
     /// if none is left. Always true for other targets and for services without
     /// a warm-up rate.
@@ -85,7 +97,8 @@
     bool relay(running_request& r, attempt_handle attempt,
                target_reply const& reply, time_point now);
     void retry_or_lose(running_request& r, std::size_t shard, time_point now);
-    bool may_repeat(running_request const& r, shard_progress const& s) const;
+    bool may_repeat(running_request const& r, shard_progress const& s,
+                    time_point now) const;
     /// Takes a retry from the budget if an earlier send reached a target; false
     /// if the budget is exhausted.
     bool may_retry(shard_progress const& s, time_point now);
--- a/serving/src/details/engine_replies.cpp
+++ b/serving/src/details/engine_replies.cpp
@@ -43,6 +43,11 @@
     {
         table_.mark_misdirected(t, now);
     }
+    else if (reply.kind == reply_kind::answered ||
+             reply.kind == reply_kind::not_executed)
+    {
+        table_.report_rate_limit(t, reply.rate_limit, now);
+    }
     if (reply.leaving)
     {
         table_.mark_leaving(t, now);
@@ -147,7 +152,7 @@
     }
     shard_progress& s = r.shards.front();
     bool const server_fault = reply.status >= 500;
-    if (server_fault && (s.outstanding > 0 || may_repeat(r, s)))
+    if (server_fault && (s.outstanding > 0 || may_repeat(r, s, now)))
     {
         return false;
     }
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -23,6 +23,33 @@
 
 } // namespace
 
+fleet_place request_engine::details::place_for(target const& t,
+                                               time_point now) const
+{
+    return {.rank = fleet_.rank(t.record.id, now), .hosts = fleet_.hosts(now)};
+}
+
+duration request_engine::details::rate_limit_wait(target const& t,
+                                                  time_point now) const
+{
+    return t.rate.active(now) ? t.rate.wait(place_for(t, now), now)
+                              : duration::zero();
+}
+
+duration request_engine::details::service_wait(std::string_view service,
+                                               time_point now) const
+{
+    duration least = duration::max();
+    for (auto const& t : table_.replicas(service))
+    {
+        if (table_.may_send(*t))
+        {
+            least = std::min(least, rate_limit_wait(*t, now));
+        }
+    }
+    return least;
+}
+
 bool request_engine::details::spend_warmup_share(target const& t,
                                                  running_request const& r,
                                                  time_point now)
@@ -41,13 +68,15 @@
 }
 
 std::shared_ptr<target>
-request_engine::details::best_refused_target(shard_progress const& s) const
+request_engine::details::best_refused_target(shard_progress const& s,
+                                             time_point now) const
 {
     std::shared_ptr<target> best;
     for (auto const& t : s.tries)
     {
         if (t.state == try_state::refused && table_.may_send(*t.to) &&
             (t.to->admitted_share >= 1.0 || s.resend_at != time_point{}) &&
+            rate_limit_wait(*t.to, now) == duration::zero() &&
             (!best || t.to->failure_share < best->failure_share))
         {
             best = t.to;
@@ -82,7 +111,7 @@
     if (s.targets_used() >= r.matched_route->max_attempts)
     {
         // No further target is allowed, but one that refused may have room now.
-        return for_hedge ? nullptr : best_refused_target(s);
+        return for_hedge ? nullptr : best_refused_target(s, now);
     }
     std::vector<target const*> left_out;
     for (auto const& t : s.tries)
@@ -97,7 +126,12 @@
                      : table_.choose(s.service, usual, left_out, now);
         if (!t)
         {
-            return for_hedge ? nullptr : best_refused_target(s);
+            return for_hedge ? nullptr : best_refused_target(s, now);
+        }
+        if (rate_limit_wait(*t, now) > duration::zero())
+        {
+            left_out.push_back(t.get());
+            continue;
         }
         if (!for_hedge && should_skip_shard(r, s, *t))
         {
@@ -152,6 +186,10 @@
     ++s.outstanding;
     ++r.outstanding;
     ++to->in_flight;
+    if (to->rate.active(now))
+    {
+        to->rate.spend(place_for(*to, now), now);
+    }
     attempt_handle const id = ++last_attempt_;
     attempts_.emplace(id, running_attempt{.request = r.handle,
                                           .shard = shard,
@@ -186,7 +224,8 @@
 }
 
 bool request_engine::details::may_repeat(running_request const& r,
-                                         shard_progress const& s) const
+                                         shard_progress const& s,
+                                         time_point now) const
 {
     if (s.sends >= options_.max_sends)
     {
@@ -197,7 +236,7 @@
         return false;
     }
     return s.targets_used() < r.matched_route->max_attempts ||
-           best_refused_target(s);
+           best_refused_target(s, now);
 }
 
 bool request_engine::details::may_retry(shard_progress const& s, time_point now)
@@ -223,8 +262,8 @@
     bool const dispensable =
         can_skip_shard(r) &&
         budget(s.service).mostly_spent(fleet_.hosts(now), now);
-    if (may_repeat(r, s) && !(arrived && dispensable) && may_retry(s, now) &&
-        send(r, shard, false, now))
+    if (may_repeat(r, s, now) && !(arrived && dispensable) &&
+        may_retry(s, now) && send(r, shard, false, now))
     {
         return;
     }
--- a/serving/src/target_table.cpp
+++ b/serving/src/target_table.cpp
@@ -266,6 +266,21 @@
     }
 }
 
+void target_table::report_rate_limit(target& t,
+                                     std::optional<double> per_second,
+                                     time_point now)
+{
+    bool const was_limited = t.rate.active(now);
+    t.rate.update(per_second, now);
+    if (was_limited != per_second.has_value())
+    {
+        log_.note(per_second ? "target.limited" : "target.unlimited",
+                  t.record.id,
+                  per_second ? std::to_string(*per_second) + " requests/s"
+                             : "states no limit any more");
+    }
+}
+
 bool target_table::admits(target const& t)
 {
     return t.admitted_share >= 1.0 || random_.unit() < t.admitted_share;
@@ -323,6 +338,7 @@
                      : evacuated_.contains(t->record.zone) ? counts.evacuated
                      : now < t->avoid_until                ? counts.failing
                      : now < t->cold_until                 ? counts.cold
+                     : t->rate.active(now)                 ? counts.limited
                      : t->admitted_share < 1.0             ? counts.full
                                                            : counts.ready;
         ++count;
