Stop sending to a target that announces its shutdown

The announcement is remembered by id and incarnation, so an entry that returns does not undo it; a new incarnation is another target. An answer of another instance at the address counts for nothing.

Evidence: both tests use what is new and cannot pass before.

--- a/host/bench/query_path.cpp
+++ b/host/bench/query_path.cpp
@@ -52,6 +52,7 @@
     .stamp = "X-Stamp",
     .load = "X-Load",
     .rate_limit = "X-Limit",
+    .shutting_down = "X-Leaving",
     .not_executed = "X-Refused",
     .part_stamps = "X-Parts",
     .missing_parts = "X-Missing",
--- a/host/include/host/wire_profile.hpp
+++ b/host/include/host/wire_profile.hpp
@@ -17,6 +17,7 @@
     std::string stamp;         ///< a target's signature on its answer
     std::string load;          ///< a target's load as "running,waiting,slots"
     std::string rate_limit;    ///< requests/s that a target accepts in all
+    std::string shutting_down; ///< "1": the target is about to shut down
     std::string not_executed;  ///< the target did not run the request
     std::string part_stamps;   ///< signatures of the merged parts
     std::string missing_parts; ///< number of shards missing from the answer
--- a/host/src/front_serialization.cpp
+++ b/host/src/front_serialization.cpp
@@ -75,6 +75,7 @@
     reply.status = answer->status;
     reply.leaving = !answer->keep_alive;
     reply.busy = parse_target_load(answer->header(wire_.load));
+    reply.shutting_down = answer->header(wire_.shutting_down) == "1";
     reply.rate_limit = parse_rate_limit(answer->header(wire_.rate_limit));
     reply.misdirected = answer->status == 421;
     if (reply.misdirected || answer->has_header(wire_.not_executed))
--- a/serving/include/serving/target.hpp
+++ b/serving/include/serving/target.hpp
@@ -31,6 +31,10 @@
     bool misdirected = false;
     time_point misdirected_since{};
 
+    /// The target announced its shutdown in an answer. Never reset: a restarted
+    /// target is another object.
+    bool shutting_down = false;
+
     int in_flight = 0; ///< attempts that have not ended; >= 0
     int overdue = 0;   ///< attempts in flight past the hedge delay
 
@@ -57,7 +61,7 @@
 
     bool usable() const
     {
-        return !misdirected &&
+        return !misdirected && !shutting_down &&
                (listed == listing::ready || listed == listing::unlisted);
     }
 };
--- a/serving/include/serving/target_reply.hpp
+++ b/serving/include/serving/target_reply.hpp
@@ -21,14 +21,15 @@
 {
     reply_kind kind = reply_kind::broken;
     int status = 0;
-    bool stamped = false;     ///< carries the target's signature
-    bool leaving = false;     ///< the target closes its connections
-    bool misdirected = false; ///< another instance answered
+    bool stamped = false;       ///< carries the target's signature
+    bool leaving = false;       ///< the target closes its connections
+    bool shutting_down = false; ///< the target announces its shutdown
+    bool misdirected = false;   ///< another instance answered
     std::string stamp;
     std::string body;
-    std::optional<int> busy; ///< reported running and waiting requests
+    std::optional<int> busy{}; ///< reported running and waiting requests
     /// Requests/s that the target accepts from all hosts together.
-    std::optional<double> rate_limit;
+    std::optional<double> rate_limit{};
     /// Of broken and not_sent: what happened. Empty with not_sent if this host
     /// decided against the send.
     char const* cause = "";
--- a/serving/include/serving/target_table.hpp
+++ b/serving/include/serving/target_table.hpp
@@ -95,6 +95,9 @@
     bool admits(target const& t);
     /// The target announced that it closes its connections: avoids it briefly.
     void mark_leaving(target& t, time_point now);
+    /// The target announced its shutdown: it receives nothing from now on, also
+    /// if its registry entry says otherwise or lapses and returns.
+    void mark_shutting_down(target& t);
     /// Another instance answered at the target's address.
     void mark_misdirected(target& t, time_point now);
     /// Treats the target as warming up for at least `left`.
@@ -124,6 +127,8 @@
     std::map<std::string, std::vector<std::shared_ptr<target>>, std::less<>>
         by_service_;
     std::set<std::string> evacuated_;
+    /// Start of the incarnation that announced its shutdown, by target id.
+    std::unordered_map<std::string, std::int64_t> shutting_down_;
 };
 
 } // namespace kumquatramp::serving
--- a/serving/src/details/engine_replies.cpp
+++ b/serving/src/details/engine_replies.cpp
@@ -47,6 +47,10 @@
              reply.kind == reply_kind::not_executed)
     {
         table_.report_rate_limit(t, reply.rate_limit, now);
+        if (reply.shutting_down)
+        {
+            table_.mark_shutting_down(t);
+        }
     }
     if (reply.leaving)
     {
--- a/serving/src/target_table.cpp
+++ b/serving/src/target_table.cpp
@@ -38,6 +38,10 @@
 constexpr double admitted_decrease = 0.85;
 constexpr double admitted_increase = 0.04;
 constexpr double min_admitted_share = 0.1;
+
+/// Announced shutdowns remembered; above it those of unknown targets are
+/// forgotten.
+constexpr std::size_t max_remembered_shutdowns = 1024;
 } // namespace
 
 target_table::target_table(std::string own_zone, duration unlisted_hold,
@@ -74,6 +78,9 @@
         log_.note(record.draining ? "target.draining" : "target.listed",
                   record.id, record.service);
     }
+    auto const announced = shutting_down_.find(record.id);
+    known->shutting_down = announced != shutting_down_.end() &&
+                           announced->second == record.incarnation_start_ms;
     known->listed = listed;
     known->unlisted_since = never;
     known->misdirected = false;
@@ -92,7 +99,7 @@
         return;
     }
     target& t = *found->second;
-    if (t.listed == listing::draining)
+    if (t.listed == listing::draining || t.shutting_down)
     {
         drop(found->second, "drained");
         by_id_.erase(found);
@@ -293,6 +300,22 @@
     t.avoid_until = std::max(t.avoid_until, now + initial_avoidance);
 }
 
+void target_table::mark_shutting_down(target& t)
+{
+    if (t.shutting_down)
+    {
+        return;
+    }
+    t.shutting_down = true;
+    if (shutting_down_.size() >= max_remembered_shutdowns)
+    {
+        std::erase_if(shutting_down_, [&](auto const& entry)
+                      { return !by_id_.contains(entry.first); });
+    }
+    shutting_down_[t.record.id] = t.record.incarnation_start_ms;
+    log_.note("target.shutting_down", t.record.id, t.record.service);
+}
+
 void target_table::mark_misdirected(target& t, time_point now)
 {
     if (!t.misdirected)
@@ -332,8 +355,9 @@
     target_states counts;
     for (auto const& [id, t] : by_id_)
     {
-        int& count = t->misdirected                        ? counts.misdirected
-                     : t->listed == listing::draining      ? counts.draining
+        int& count = t->misdirected ? counts.misdirected
+                     : t->shutting_down || t->listed == listing::draining
+                         ? counts.draining
                      : t->listed == listing::unlisted      ? counts.unlisted
                      : evacuated_.contains(t->record.zone) ? counts.evacuated
                      : now < t->avoid_until                ? counts.failing
--- a/serving/tests/request_engine_test.cpp
+++ b/serving/tests/request_engine_test.cpp
@@ -343,6 +343,34 @@
           nullptr);
 }
 
+// Guards against an announcement of a shutdown that is read but not applied.
+TEST_CASE("an answer that announces a shutdown ends the sends to its target")
+{
+    engine_fixture fixture;
+    fixture.add_targets("s0", {"zone-a"});
+    fixture.configure({"s0"}, 1.0);
+    fixture.submit(1, "/s0/x");
+    target_reply reply{.kind = reply_kind::answered,
+                       .status = 200,
+                       .stamped = true,
+                       .shutting_down = true,
+                       .stamp = "x",
+                       .body = "part"};
+    SECTION("it is the expected instance")
+    {
+        fixture.engine.on_reply(1, reply, fixture.now);
+        fixture.submit(2, "/s0/x");
+        CHECK(fixture.answers.at(2).error == error_kind::no_target);
+    }
+    SECTION("another instance answered at the address")
+    {
+        reply.kind = reply_kind::not_executed;
+        reply.misdirected = true;
+        fixture.engine.on_reply(1, reply, fixture.now);
+        CHECK_FALSE(fixture.table.replicas("s0").front()->shutting_down);
+    }
+}
+
 // Guards against answers by a configuration that the host no longer keeps up to
 // date.
 TEST_CASE("a withdrawn configuration decides no request and is replaced by the "
--- a/serving/tests/target_table_test.cpp
+++ b/serving/tests/target_table_test.cpp
@@ -33,6 +33,40 @@
 
 } // namespace
 
+// Guards against requests to a target that said in an answer that it shuts
+// down.
+TEST_CASE("a target that announces its shutdown gets no further request")
+{
+    engine_fixture fixture;
+    target_record record{.id = "i-1",
+                         .service = "s",
+                         .address = "10.0.0.1:80",
+                         .zone = "zone-a",
+                         .incarnation_start_ms = 5};
+    fixture.table.put(record, fixture.now);
+    REQUIRE(chosen(fixture) == "zone-a");
+    fixture.table.mark_shutting_down(*find(fixture, "zone-a"));
+    CHECK(chosen(fixture) == "none");
+    SECTION("its registry entry still says that it is ready")
+    {
+        fixture.table.put(record, fixture.now);
+        CHECK(chosen(fixture) == "none");
+    }
+    SECTION("its registry entry lapses and returns")
+    {
+        fixture.table.remove("i-1", fixture.now);
+        CHECK(fixture.table.size() == 0);
+        fixture.table.put(record, fixture.now);
+        CHECK(chosen(fixture) == "none");
+    }
+    SECTION("a new incarnation under its id is another target")
+    {
+        record.incarnation_start_ms = 6;
+        fixture.table.put(record, fixture.now);
+        CHECK(chosen(fixture) == "zone-a");
+    }
+}
+
 TEST_CASE(
     "a slow target is avoided for one in another zone and tried again later")
 {
