Leave a target alone for the time that it asks for in a refusal

Change: such a target receives nothing from this host until the time has passed (at most an hour by one answer). Requests that only such targets could serve are refused at once with the time that is left as Retry-After; the check at admission now covers absent, limited and resting targets alike (it replaces has_usable, whose test now asks the same of each target).

Evidence: the new tests use what is new and cannot pass before.

--- a/host/src/front_serialization.cpp
+++ b/host/src/front_serialization.cpp
@@ -1,6 +1,7 @@
 // Serializes answers to clients and parses targets' answers into replies.
 #include "front_exchange.hpp"
 #include "parse_number.hpp"
+#include <algorithm>
 #include <base/error_answer.hpp>
 #include <cmath>
 #include <eventloop/http_message.hpp>
@@ -42,6 +43,22 @@
     return rate && std::isfinite(*rate) && *rate >= 0 ? rate : std::nullopt;
 }
 
+/// Longest time that a target may keep this host away with one answer.
+constexpr double max_rest_s = 3600;
+
+/// Nothing if the text is not a number of seconds of at least 0; dates are not
+/// supported.
+std::optional<duration> parse_retry_after(std::string_view text)
+{
+    auto const seconds = parse_number<double>(text);
+    if (!seconds || !(*seconds >= 0))
+    {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(std::min(*seconds, max_rest_s)));
+}
+
 } // namespace
 
 std::string front_service::serialize_error(error_kind kind,
@@ -75,6 +92,10 @@
     reply.status = answer->status;
     reply.leaving = !answer->keep_alive;
     reply.busy = parse_target_load(answer->header(wire_.load));
+    if (answer->status == 503)
+    {
+        reply.rest = parse_retry_after(answer->header("Retry-After"));
+    }
     reply.shutting_down = answer->header(wire_.shutting_down) == "1";
     reply.rate_limit = parse_rate_limit(answer->header(wire_.rate_limit));
     reply.misdirected = answer->status == 421;
--- a/host/src/query_host_endpoints.cpp
+++ b/host/src/query_host_endpoints.cpp
@@ -98,6 +98,7 @@
     in_state("draining", states.draining);
     in_state("unlisted", states.unlisted);
     in_state("evacuated", states.evacuated);
+    in_state("resting", states.resting);
     in_state("failing", states.failing);
     in_state("cold", states.cold);
     in_state("limited", states.limited);
--- a/serving/include/serving/target.hpp
+++ b/serving/include/serving/target.hpp
@@ -35,6 +35,10 @@
     /// target is another object.
     bool shutting_down = false;
 
+    /// The target refused a request and asked to be left alone until then.
+    bool resting = false;
+    time_point rest_until{};
+
     int in_flight = 0; ///< attempts that have not ended; >= 0
     int overdue = 0;   ///< attempts in flight past the hedge delay
 
@@ -59,7 +63,9 @@
     int reported_busy = 0;
     time_point reported_at{};
 
-    bool usable() const
+    bool usable() const { return !resting && usable_after_rest(); }
+
+    bool usable_after_rest() const
     {
         return !misdirected && !shutting_down &&
                (listed == listing::ready || listed == listing::unlisted);
--- a/serving/include/serving/target_reply.hpp
+++ b/serving/include/serving/target_reply.hpp
@@ -28,6 +28,8 @@
     std::string stamp;
     std::string body;
     std::optional<int> busy{}; ///< reported running and waiting requests
+    /// How long the target wants nothing from this host, from a refusal.
+    std::optional<duration> rest{};
     /// Requests/s that the target accepts from all hosts together.
     std::optional<double> rate_limit{};
     /// Of broken and not_sent: what happened. Empty with not_sent if this host
--- a/serving/include/serving/target_states.hpp
+++ b/serving/include/serving/target_states.hpp
@@ -12,6 +12,7 @@
     int draining = 0;
     int unlisted = 0; ///< registry entry removed
     int evacuated = 0;
+    int resting = 0; ///< asked to receive nothing for a time
     int failing = 0; ///< avoided after consecutive failures
     int cold = 0;
     int limited = 0; ///< states a limit on its requests per second
--- a/serving/include/serving/target_table.hpp
+++ b/serving/include/serving/target_table.hpp
@@ -52,8 +52,8 @@
     /// Replaces the set of evacuated zones.
     void set_evacuated(std::set<std::string> const& zones, time_point now);
 
-    /// Drops unlisted targets and resets misdirected ones whose hold time has
-    /// passed.
+    /// Drops unlisted targets and resets misdirected and resting ones whose
+    /// time has passed.
     void tick(time_point now);
 
     /// The replica with the least expected latency, or null. `usual` is the
@@ -71,8 +71,9 @@
     /// Whether a request may be sent to this target now.
     bool may_send(target const& t) const;
 
-    /// Whether any target of the service may receive a request.
-    bool has_usable(std::string_view service) const;
+    /// Time until the target may receive a request; `duration::max()` if that
+    /// is unknown.
+    duration time_to_usable(target const& t, time_point now) const;
 
     /// Records a successful attempt. `usual` is the route's usual latency.
     void count_success(target& t, duration latency, duration usual,
@@ -95,6 +96,9 @@
     bool admits(target const& t);
     /// The target announced that it closes its connections: avoids it briefly.
     void mark_leaving(target& t, time_point now);
+    /// The target refused a request and wants nothing from this host for this
+    /// long.
+    void mark_resting(target& t, duration rest, time_point now);
     /// The target announced its shutdown: it receives nothing from now on, also
     /// if its registry entry says otherwise or lapses and returns.
     void mark_shutting_down(target& t);
--- a/serving/src/details/engine_admission.cpp
+++ b/serving/src/details/engine_admission.cpp
@@ -16,6 +16,12 @@
 
 } // namespace
 
+duration request_engine::details::retry_after(duration wait)
+{
+    return wait == duration::max() ? duration::zero()
+                                   : std::min(wait, max_retry_after);
+}
+
 void request_engine::details::refuse(request_handle request, request_type type,
                                      error_kind error, duration min_retry_after)
 {
@@ -93,11 +99,17 @@
 duration request_engine::details::coverage_wait(running_request const& r,
                                                 time_point now) const
 {
-    std::vector<duration> waits;
-    for (auto const& s : r.shards)
+    auto const wait = [&](shard_progress const& s)
+    { return service_wait(s.service, now); };
+    int const ready = static_cast<int>(std::count_if(
+        r.shards.begin(), r.shards.end(),
+        [&](shard_progress const& s) { return wait(s) == duration::zero(); }));
+    if (ready >= needed(r))
     {
-        waits.push_back(service_wait(s.service, now));
+        return duration::zero();
     }
+    std::vector<duration> waits(r.shards.size());
+    std::transform(r.shards.begin(), r.shards.end(), waits.begin(), wait);
     auto const last = waits.begin() + (needed(r) - 1);
     std::nth_element(waits.begin(), last, waits.end());
     return *last;
@@ -134,28 +146,18 @@
     {
         r.shards.push_back({.service = choose_service(matched_route)});
     }
-    int reachable = 0;
     for (auto const& s : r.shards)
     {
         budget(s.service).count_request(now);
-        reachable += table_.has_usable(s.service) ? 1 : 0;
-    }
-    if (reachable < needed(r))
-    {
-        refuse(r.handle, r.type(), error_kind::no_target);
-        port_.log_request(
-            r.handle, summarize(r, summary_kind::failed,
-                                answer_of(error_kind::no_target).code, now));
-        return;
     }
     if (duration const wait = coverage_wait(r, now); wait > duration::zero())
     {
         // Sends to the shards that have room would be wasted.
-        refuse(r.handle, r.type(), error_kind::overloaded,
-               std::min(wait, max_retry_after));
-        port_.log_request(
-            r.handle, summarize(r, summary_kind::failed,
-                                answer_of(error_kind::overloaded).code, now));
+        auto const error = wait == duration::max() ? error_kind::no_target
+                                                   : error_kind::overloaded;
+        refuse(r.handle, r.type(), error, retry_after(wait));
+        port_.log_request(r.handle, summarize(r, summary_kind::failed,
+                                              answer_of(error).code, now));
         return;
     }
     auto& running = requests_.emplace(r.handle, std::move(r)).first->second;
--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -178,11 +178,13 @@
     bool const certainly_not_run = !r.may_have_run() && r.outstanding == 0 &&
                                    (error == error_kind::target_failed ||
                                     error == error_kind::target_timeout);
+    duration min_retry_after{};
     if (certainly_not_run)
     {
         error = error_kind::overloaded;
+        min_retry_after = retry_after(coverage_wait(r, now));
     }
-    refuse(r.handle, r.type(), error);
+    refuse(r.handle, r.type(), error, min_retry_after);
     finish(r, true, answer_of(error).code, now);
 }
 
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -72,6 +72,8 @@
     /// Time until a target of the service may receive a request; zero if one
     /// may now, `duration::max()` if that is unknown.
     duration service_wait(std::string_view service, time_point now) const;
+    /// Least Retry-After of a request that must wait this long.
+    static duration retry_after(duration wait);
     /// Time until enough shards of the request have a target that may receive
     /// it.
     duration coverage_wait(running_request const& r, time_point now) const;
--- a/serving/src/details/engine_replies.cpp
+++ b/serving/src/details/engine_replies.cpp
@@ -47,6 +47,10 @@
              reply.kind == reply_kind::not_executed)
     {
         table_.report_rate_limit(t, reply.rate_limit, now);
+        if (reply.rest)
+        {
+            table_.mark_resting(t, *reply.rest, now);
+        }
         if (reply.shutting_down)
         {
             table_.mark_shutting_down(t);
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -42,10 +42,8 @@
     duration least = duration::max();
     for (auto const& t : table_.replicas(service))
     {
-        if (table_.may_send(*t))
-        {
-            least = std::min(least, rate_limit_wait(*t, now));
-        }
+        least = std::min(least, std::max(table_.time_to_usable(*t, now),
+                                         rate_limit_wait(*t, now)));
     }
     return least;
 }
--- a/serving/src/target_table.cpp
+++ b/serving/src/target_table.cpp
@@ -182,6 +182,10 @@
         {
             t->misdirected = false;
         }
+        if (t->resting && now >= t->rest_until)
+        {
+            t->resting = false;
+        }
         if (t->listed == listing::unlisted &&
             now - t->unlisted_since >= unlisted_hold_)
         {
@@ -198,12 +202,14 @@
     return t.usable() && !evacuated_.contains(t.record.zone);
 }
 
-bool target_table::has_usable(std::string_view service) const
+duration target_table::time_to_usable(target const& t, time_point now) const
 {
-    auto const found = by_service_.find(service);
-    return found != by_service_.end() &&
-           std::any_of(found->second.begin(), found->second.end(),
-                       [&](auto const& t) { return may_send(*t); });
+    if (!t.usable_after_rest() || evacuated_.contains(t.record.zone))
+    {
+        return duration::max();
+    }
+    return t.resting ? std::max<duration>(t.rest_until - now, 1ms)
+                     : duration::zero();
 }
 
 void target_table::count_success(target& t, duration latency, duration usual,
@@ -300,6 +306,21 @@
     t.avoid_until = std::max(t.avoid_until, now + initial_avoidance);
 }
 
+void target_table::mark_resting(target& t, duration rest, time_point now)
+{
+    if (rest <= duration::zero())
+    {
+        return;
+    }
+    if (!t.resting)
+    {
+        log_.note("target.resting", t.record.id,
+                  "for " + std::to_string(rest / 1ms) + " ms");
+    }
+    t.resting = true;
+    t.rest_until = std::max(t.rest_until, now + rest);
+}
+
 void target_table::mark_shutting_down(target& t)
 {
     if (t.shutting_down)
@@ -360,6 +381,7 @@
                          ? counts.draining
                      : t->listed == listing::unlisted      ? counts.unlisted
                      : evacuated_.contains(t->record.zone) ? counts.evacuated
+                     : t->resting                          ? counts.resting
                      : now < t->avoid_until                ? counts.failing
                      : now < t->cold_until                 ? counts.cold
                      : t->rate.active(now)                 ? counts.limited
--- a/serving/tests/request_engine_test.cpp
+++ b/serving/tests/request_engine_test.cpp
@@ -371,6 +371,56 @@
     }
 }
 
+// Guards against requests to a target during the time for which it asked, in a
+// refusal, to be left alone.
+TEST_CASE("a target that refused with a pause gets nothing until it has passed")
+{
+    engine_fixture fixture;
+    fixture.add_targets("s0", {"zone-a"});
+    fixture.configure({"s0"}, 1.0);
+    fixture.submit(1, "/s0/x");
+    target_reply reply{.kind = reply_kind::not_executed,
+                       .status = 503,
+                       .stamp = "",
+                       .body = "",
+                       .rest = 3s};
+    fixture.engine.on_reply(1, reply, fixture.now);
+    fixture.advance(300ms);
+    fixture.sent.clear();
+    // The waiting request is refused at once, with the time that is left.
+    REQUIRE(fixture.answers.contains(1));
+    CHECK(fixture.answers.at(1).error == error_kind::overloaded);
+    CHECK(*fixture.answers.at(1).retry_after >= 2s);
+    for (request_handle handle = 2; handle < 28; ++handle)
+    {
+        fixture.submit(handle, handle % 2 == 0 ? "/s0/x" : "/once/s0/x");
+        CHECK(fixture.answers.at(handle).error == error_kind::overloaded);
+        fixture.table.tick(fixture.now);
+        fixture.advance(100ms);
+    }
+    CHECK(fixture.sent.empty());
+    fixture.advance(200ms);
+    fixture.table.tick(fixture.now);
+    fixture.submit(28, "/s0/x");
+    CHECK(fixture.sends_to("s0-zone-a") == 1);
+}
+
+TEST_CASE("the other replicas serve while one asked to be left alone")
+{
+    engine_fixture fixture;
+    fixture.add_targets("s0", {"zone-a", "zone-b"});
+    fixture.configure({"s0"}, 1.0);
+    for (auto const& t : fixture.table.replicas("s0"))
+    {
+        if (t->record.zone == "zone-a")
+        {
+            fixture.table.mark_resting(*t, 1s, fixture.now);
+        }
+    }
+    fixture.submit(1, "/s0/x");
+    CHECK(fixture.sends_to("s0-zone-b") == 1);
+}
+
 // Guards against answers by a configuration that the host no longer keeps up to
 // date.
 TEST_CASE("a withdrawn configuration decides no request and is replaced by the "
--- a/serving/tests/target_table_test.cpp
+++ b/serving/tests/target_table_test.cpp
@@ -129,7 +129,10 @@
     CHECK(chosen(fixture) == "zone-b");
     fixture.table.evacuate("zone-b", fixture.now);
     CHECK(chosen(fixture) == "none");
-    CHECK_FALSE(fixture.table.has_usable("s"));
+    for (auto const& t : fixture.table.replicas("s"))
+    {
+        CHECK(fixture.table.time_to_usable(*t, fixture.now) == duration::max());
+    }
     fixture.table.end_evacuation("zone-b", fixture.now);
     CHECK(chosen(fixture) == "zone-b");
 }
