Bound responses that never end, each and in sum

Looked at here: endless heads, reason phrases, header lines, blank lines, trailers and bodies were cut off at 64 KB and 16 MB before. Two gaps, shown by tests that failed: bytes that are read but not kept (interim responses, chunk extensions) were only ended by the request's deadline, and eight endless bodies at once held 52 MB, on hosts that may have 112 MB.

Change: all bytes of one response are limited to 32 MB, and the bodies of all responses in progress to 32 MB together; beyond that the connections with at least an average part are closed.

A response that ends within its head (another report: clients got a 200 that looked whole) is malformed at every byte, over the codec and over sockets. It was so before; the tests are new.

--- a/eventloop/include/eventloop/upstream_pool.hpp
+++ b/eventloop/include/eventloop/upstream_pool.hpp
@@ -74,6 +74,7 @@
     std::uint64_t opened = 0; ///< connections opened since the start
     std::size_t open = 0;
     std::size_t idle = 0;
+    std::size_t buffered_bytes = 0; ///< bodies of responses in progress
 };
 
 /// Maintains the connections to all targets and queues requests for them. Not
@@ -137,6 +138,9 @@
                 http_message* answer, char const* cause);
     void post_not_sent(serving::attempt_handle attempt, char const* cause);
     void remove_connection(upstream_connection* connection);
+    /// Whether responses in progress take too much memory and this connection
+    /// holds at least an average part of it.
+    bool exceeds_memory(std::size_t buffered_by_connection) const;
 
     asio::io_context& loop_;
     clock const& time_;
@@ -145,6 +149,8 @@
     std::unordered_map<serving::attempt_handle, upstream_connection*>
         connection_by_attempt_;
     std::uint64_t opened_ = 0;
+    /// Sum of the connections' buffered_bytes_.
+    std::size_t buffered_bytes_ = 0;
 };
 
 } // namespace kumquatramp::eventloop
--- a/eventloop/src/details/upstream_connection.cpp
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -15,6 +15,10 @@
 /// bounds.
 constexpr std::size_t max_response_header_bytes = 65536;
 constexpr std::size_t max_response_body_bytes = 16U << 20U;
+/// Limit on all bytes of a response, including interim responses and the
+/// framing of chunks, which are not kept.
+constexpr std::size_t max_response_bytes =
+    max_response_header_bytes + 2 * max_response_body_bytes;
 
 /// Idle limit of a connection whose target has sent no Keep-Alive timeout.
 constexpr duration default_idle_limit = 10s;
@@ -118,6 +122,7 @@
     }
     state_ = state::busy;
     response_started_ = false;
+    response_bytes_ = 0;
     reader_.reset(current_send_.no_body);
     asio::error_code failed;
     std::size_t const sent = socket_.write_some(asio::buffer(bytes), failed);
@@ -193,12 +198,19 @@
     response_started_ = true;
     while (!bytes.empty())
     {
-        bytes = bytes.subspan(reader_.feed(bytes));
+        std::size_t const used = reader_.feed(bytes);
+        bytes = bytes.subspan(used);
         if (reader_.failed())
         {
             on_stream_end(false);
             return;
         }
+        if (!account(used) &&
+            reader_.state() != message_reader::progress::complete)
+        {
+            on_stream_end(false, "response too large");
+            return;
+        }
         if (reader_.state() != message_reader::progress::complete)
         {
             return;
@@ -216,7 +228,16 @@
     }
 }
 
-void upstream_connection::on_stream_end(bool orderly)
+bool upstream_connection::account(std::size_t received)
+{
+    response_bytes_ += received;
+    std::size_t const kept = reader_.message().body.size();
+    pool_.buffered_bytes_ += kept - buffered_bytes_;
+    buffered_bytes_ = kept;
+    return response_bytes_ <= max_response_bytes && !pool_.exceeds_memory(kept);
+}
+
+void upstream_connection::on_stream_end(bool orderly, char const* cause)
 {
     auto const self = shared_from_this();
     if (state_ == state::busy && orderly)
@@ -242,7 +263,8 @@
                      response_started_ ? send_outcome::invalid_response
                                        : send_outcome::broken,
                      nullptr,
-                     malformed ? "malformed response"
+                     cause != nullptr ? cause
+                     : malformed      ? "malformed response"
                      : orderly
                          ? "connection closed before the response was complete"
                          : "connection reset");
@@ -299,6 +321,8 @@
 serving::attempt_handle upstream_connection::release_attempt()
 {
     has_current_send_ = false;
+    pool_.buffered_bytes_ -= buffered_bytes_;
+    buffered_bytes_ = 0;
     auto const attempt = current_send_.order.attempt;
     current_send_.order.to.reset();
     return attempt;
@@ -311,6 +335,8 @@
         return;
     }
     state_ = state::closed;
+    pool_.buffered_bytes_ -= buffered_bytes_;
+    buffered_bytes_ = 0;
     asio::error_code ignored;
     socket_.close(ignored);
     pool_.remove_connection(this);
--- a/eventloop/src/details/upstream_connection.hpp
+++ b/eventloop/src/details/upstream_connection.hpp
@@ -57,7 +57,11 @@
     void wait_readable();
     void on_readable();
     void on_bytes(std::span<char const> bytes);
-    void on_stream_end(bool orderly);
+    /// `cause` replaces the default one of a stream that did not end orderly.
+    void on_stream_end(bool orderly, char const* cause = nullptr);
+    /// Updates the accounts of the response in progress; false if it exceeds
+    /// them.
+    bool account(std::size_t received);
     void complete(bool reusable);
     void update_idle_limit(http_message const& answer);
     serving::attempt_handle release_attempt();
@@ -68,7 +72,9 @@
     message_reader reader_;
     upstream_pool::pending_send current_send_;
     bool has_current_send_ = false;
-    bool response_started_ = false; ///< bytes of the response have arrived
+    bool response_started_ = false;  ///< bytes of the response have arrived
+    std::size_t response_bytes_ = 0; ///< received of the response
+    std::size_t buffered_bytes_ = 0; ///< of them kept, as its body
     bool writing_ = false; ///< an async_write of the request is pending
     std::string unsent_;
     state state_ = state::connecting;
--- a/eventloop/src/upstream_pool.cpp
+++ b/eventloop/src/upstream_pool.cpp
@@ -17,6 +17,9 @@
 /// Limit on establishing a connection; a target in the same region takes a few
 /// milliseconds.
 constexpr duration connect_timeout = 500ms;
+/// Limit on the bodies of all responses in progress; a host may have little
+/// more than 100 MB of memory.
+constexpr std::size_t max_buffered_bytes = 32U << 20U;
 /// Maximum length of the queue of one target, per allowed connection.
 constexpr std::size_t max_waiting_per_connection = 4;
 /// A request that must not be repeated is sent only on a connection that has
@@ -307,6 +310,13 @@
         { client_.on_end(attempt, send_outcome::not_sent, nullptr, cause); });
 }
 
+bool upstream_pool::exceeds_memory(std::size_t buffered_by_connection) const
+{
+    return buffered_bytes_ > max_buffered_bytes &&
+           buffered_by_connection * connection_by_attempt_.size() >=
+               buffered_bytes_;
+}
+
 void upstream_pool::remove_connection(upstream_connection* connection)
 {
     auto const found = target_pools_.find(connection->target_id());
@@ -353,6 +363,7 @@
 {
     pool_stats f;
     f.opened = opened_;
+    f.buffered_bytes = buffered_bytes_;
     for (auto const& [id, pool] : target_pools_)
     {
         f.open += pool->connections.size();
--- a/eventloop/tests/message_reader_test.cpp
+++ b/eventloop/tests/message_reader_test.cpp
@@ -131,6 +131,25 @@
     CHECK(head.state() == progress::malformed);
 }
 
+// Guards against a response that ends within its head and looks complete.
+TEST_CASE("a response that ends at any byte of its head is malformed")
+{
+    std::string const framing =
+        GENERATE("Content-Length: 5\r\n", "Content-Length: 0\r\n",
+                 "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", "");
+    std::string const head =
+        "HTTP/1.1 200 OK\r\nX-Id: 7\r\n" + framing + "\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length)
+    {
+        CAPTURE(framing, length);
+        response_reader reader;
+        reader.feed(std::string_view(head).substr(0, length));
+        CHECK(reader.state() != progress::complete);
+        reader.finish();
+        CHECK(reader.state() == progress::malformed);
+    }
+}
+
 TEST_CASE("a response to HEAD has a length but no body")
 {
     response_reader reader;
--- a/eventloop/tests/raw_socket.hpp
+++ b/eventloop/tests/raw_socket.hpp
@@ -37,6 +37,13 @@
         asio::write(socket_, asio::buffer(bytes), ignored);
     }
 
+    /// Sends what the socket accepts without blocking; returns its size.
+    std::size_t send_some(std::string_view bytes)
+    {
+        asio::error_code ignored;
+        return socket_.write_some(asio::buffer(bytes), ignored);
+    }
+
     /// Runs the loop until `mark` has been received, the peer has closed the
     /// connection or `timeout_ms` have passed. Returns all bytes received.
     std::string receive_until(asio::io_context& loop, std::string_view mark,
--- a/eventloop/tests/upstream_pool_test.cpp
+++ b/eventloop/tests/upstream_pool_test.cpp
@@ -137,6 +137,125 @@
 
 } // namespace
 
+// Guards against a response that ends within its head and is passed on as
+// whole.
+TEST_CASE("an attempt whose response ends within its head is not answered")
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n";
+    std::size_t const length = GENERATE(1U, 9U, 15U, 17U, 20U, 26U, 27U);
+    CAPTURE(length);
+    fixture f;
+    auto target = start_and_accept(f, 1);
+    target.send(head.substr(0, length));
+    f.run(5);
+    target.close();
+    CHECK(f.outcome(1) == send_outcome::invalid_response);
+}
+
+// Guards against a target whose bytes never end: they must not fill the memory,
+// nor occupy the connection for longer than a bounded response takes.
+TEST_CASE("a response without end is cut off")
+{
+    constexpr std::size_t most = 48U << 20U;
+    std::string const chunk(65536, 'a');
+    std::string start = "HTTP/1.1 200 OK\r\n";
+    std::string repeated = chunk;
+    SECTION("in a header value")
+    {
+        start += "X-Long: ";
+    }
+    SECTION("in a header name") {}
+    SECTION("in the reason phrase")
+    {
+        start = "HTTP/1.1 200 ";
+    }
+    SECTION("in header lines")
+    {
+        repeated = "X-Line: 1\r\n";
+    }
+    SECTION("before the start line")
+    {
+        start = "";
+        repeated = "\r\n\r\n\r\n\r\n";
+    }
+    SECTION("in bytes that are no HTTP")
+    {
+        start = "";
+    }
+    SECTION("in interim responses")
+    {
+        start = "";
+        repeated = "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    SECTION("in a body without length")
+    {
+        start += "\r\n";
+    }
+    SECTION("in chunks")
+    {
+        start += "Transfer-Encoding: chunked\r\n\r\n";
+        repeated = "10000\r\n" + chunk + "\r\n";
+    }
+    SECTION("in a chunk extension")
+    {
+        start += "Transfer-Encoding: chunked\r\n\r\n5;";
+    }
+    SECTION("in trailers")
+    {
+        start += "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+        repeated = "X-Line: 1\r\n";
+    }
+    while (repeated.size() < chunk.size())
+    {
+        repeated += repeated;
+    }
+    fixture f;
+    auto target = start_and_accept(f, 1);
+    target.send(start);
+    std::size_t sent = 0;
+    while (!f.ends.contains(1) && sent < most)
+    {
+        sent += target.send_some(repeated);
+        f.loop.restart();
+        f.loop.poll();
+    }
+    REQUIRE(f.ends.contains(1));
+    CHECK(f.ends.at(1).outcome == send_outcome::invalid_response);
+    CHECK(f.pool.stats().open == 0);
+}
+
+// Guards against several endless responses that together fill the memory.
+TEST_CASE("the bodies of all responses in progress are bounded in sum")
+{
+    fixture f;
+    constexpr serving::attempt_handle endless = 8;
+    std::vector<raw_socket> targets;
+    for (serving::attempt_handle i = 1; i <= endless + 1; ++i)
+    {
+        f.start(i, true, 16);
+        targets.push_back(std::move(*f.accept()));
+        targets.back().receive_until(f.loop, "\r\n\r\n");
+    }
+    std::string const chunk(65536, 'a');
+    for (auto& t : targets)
+    {
+        t.send("HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n");
+    }
+    for (int round = 0; round < 110; ++round)
+    {
+        // The last target sends a small part of its response only.
+        for (std::size_t i = 0; i < endless; ++i)
+        {
+            targets[i].send_some(chunk);
+            f.loop.restart();
+            f.loop.poll();
+        }
+    }
+    CHECK(f.pool.stats().buffered_bytes <= 33U << 20U);
+    CHECK(f.ends.size() >= 3);
+    CHECK_FALSE(f.ends.contains(endless + 1));
+}
+
 TEST_CASE("a connection is reused")
 {
     fixture f;
