--- a/build.sh
+++ b/build.sh
@@ -36,7 +36,7 @@
 }
 
 print_known_red() {
-    grep -A 8 '^test:' KNOWN-RED.txt || true
+    grep -s -A 8 '^test:' KNOWN-RED.txt || true
 }
 
 sources() {
