Bound the wait for a stated rate, and split a header

A limit far below one request a second made the wait overflow when it was converted; it now ends with the limit's lifetime (test). fleet_place has a header of its own.

--- a/serving/include/serving/stated_rate.hpp
+++ b/serving/include/serving/stated_rate.hpp
@@ -4,21 +4,15 @@
 
 #include <base/time.hpp>
 #include <optional>
+#include <serving/fleet_place.hpp>
 
 namespace kumquatramp::serving
 {
 
-/// This host among those that divide a target's limit.
-struct fleet_place
-{
-    int rank = 0;  ///< of this host for the target, from 0
-    int hosts = 1; ///< that may be sending; at least 1
-};
-
-/// A token bucket. The limit holds for the sum over all hosts, which divide it
-/// without communication: each takes an equal part, and if the limit is small,
-/// only the hosts of lowest rank take part. In any window the bursts of all
-/// hosts together add little more than one second of the limit.
+/// A token bucket. The target's limit holds for the sum over all hosts, which
+/// divide it without communication: each takes an equal part, and if the limit
+/// is small, only the hosts of lowest rank take part. In any window the bursts
+/// of all hosts together add little more than one second of the limit.
 class stated_rate
 {
 public:
--- a/serving/src/stated_rate.cpp
+++ b/serving/src/stated_rate.cpp
@@ -14,6 +14,8 @@
 /// Sum of the bursts of all hosts, in seconds of the limit. It also bounds how
 /// many hosts take part, since each has a burst of at least one request.
 constexpr double burst_s = 1.2;
+/// Keeps the conversion of a wait within the range of duration.
+constexpr double max_wait_s = 3600;
 
 } // namespace
 
@@ -65,8 +67,11 @@
     {
         return duration::zero();
     }
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(missing / own.per_second));
+    // The limit is forgotten after its lifetime, so no wait is longer.
+    return std::min<duration>(
+        statement_lifetime,
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+            std::min(missing / own.per_second, max_wait_s))));
 }
 
 void stated_rate::spend(fleet_place place, time_point now)
--- a/serving/tests/stated_rate_test.cpp
+++ b/serving/tests/stated_rate_test.cpp
@@ -63,6 +63,15 @@
     CHECK(rate.wait({}, now + 10s) == duration::zero());
 }
 
+TEST_CASE("the wait for a very small limit ends when the limit is forgotten")
+{
+    stated_rate rate;
+    time_point const now(1h);
+    rate.update(1e-300, now);
+    CHECK(rate.wait({}, now) > duration::zero());
+    CHECK(rate.wait({}, now) <= 10s);
+}
+
 TEST_CASE("an answer without a limit ends it")
 {
     stated_rate rate;
