Keep a small stated limit over the whole fleet: probes in turn, spare parts

Change: a limit stays in force until an answer without one. A host that has had no answer for 10 s sends one probe, in a slot of 4 s that the hosts take in turn. The share of a cold target's rate had discarded fractions, so that a rate below one a second admitted nothing; the host after the remainder now sends the fraction.

--- a/serving/include/serving/stated_rate.hpp
+++ b/serving/include/serving/stated_rate.hpp
@@ -13,6 +13,10 @@
 /// divide it without communication: each takes an equal part, and if the limit
 /// is small, only the hosts of lowest rank take part. In any window the bursts
 /// of all hosts together add little more than one second of the limit.
+///
+/// A limit stays in force until an answer without one. A host that has had no
+/// answer for some time sends single probes to learn of its end, in time slots
+/// that the hosts take in turn: the probes of the fleet are a part of the sum.
 class stated_rate
 {
 public:
@@ -20,12 +24,11 @@
     /// hosts, or none.
     void update(std::optional<double> per_second, time_point now);
 
-    /// Whether a limit is in force. One that has not been stated again for some
-    /// time is forgotten, so that a host without a part learns of its end.
-    bool active(time_point now) const;
+    /// Whether a limit is in force.
+    bool active() const { return limit_.has_value(); }
 
     /// Time until this host may send; zero if it may now, `duration::max()` if
-    /// it has no part.
+    /// it has no part and it is not its turn to probe.
     duration wait(fleet_place place, time_point now) const;
 
     /// Records a send.
@@ -39,10 +42,14 @@
     };
     part own_part(fleet_place place) const;
     double tokens(part own, time_point now) const;
+    bool may_probe(fleet_place place, time_point now) const;
+    duration slot_length() const;
 
     std::optional<double> limit_;
-    time_point stated_at_{};
-    double tokens_ = 0; ///< at tokens_at_; at most the burst
+    time_point learned_at_{}; ///< of the limit's first statement
+    time_point stated_at_{};  ///< of its latest one; >= learned_at_
+    time_point spent_at_{};   ///< of the latest send
+    double tokens_ = 0;       ///< at tokens_at_; at most the burst
     time_point tokens_at_{};
 };
 
--- a/serving/include/serving/warmup_share.hpp
+++ b/serving/include/serving/warmup_share.hpp
@@ -14,7 +14,8 @@
 /// Divides the rate of a cold target among the hosts without communication:
 /// each host gets an equal whole number of sends per second, and the remainder
 /// goes to the hosts of lowest rank by rendezvous hashing, one send per second
-/// each.
+/// each. The host after them gets the fraction of a send per second that is
+/// left.
 class warmup_share
 {
 public:
@@ -23,18 +24,22 @@
     explicit warmup_share(std::string self);
 
     /// Takes one send to a cold target; false if this host's share is used up.
-    /// `rate` is the target's limit in requests/s over all hosts; its
-    /// fractional part is discarded. `rank` is this host's rank among `hosts`
-    /// for the target, from 0.
+    /// `rate` is the target's limit in requests/s over all hosts. `rank` is
+    /// this host's rank among `hosts` for the target, from 0.
     bool spend(std::string_view target, double rate, int rank, int hosts,
                time_point now);
 
     std::string const& self() const { return self_; }
 
 private:
+    struct target_sends
+    {
+        std::deque<time_point> whole; ///< of the last second, oldest first
+        time_point fractional{};      ///< latest one from the fraction
+    };
+
     std::string self_;
-    // Sends of the last second by target, oldest first.
-    std::unordered_map<std::string, std::deque<time_point>> sends_;
+    std::unordered_map<std::string, target_sends> sends_;
 };
 
 } // namespace kumquatramp::serving
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -32,8 +32,8 @@
 duration request_engine::details::rate_limit_wait(target const& t,
                                                   time_point now) const
 {
-    return t.rate.active(now) ? t.rate.wait(place_for(t, now), now)
-                              : duration::zero();
+    return t.rate.active() ? t.rate.wait(place_for(t, now), now)
+                           : duration::zero();
 }
 
 duration request_engine::details::service_wait(std::string_view service,
@@ -184,7 +184,7 @@
     ++s.outstanding;
     ++r.outstanding;
     ++to->in_flight;
-    if (to->rate.active(now))
+    if (to->rate.active())
     {
         to->rate.spend(place_for(*to, now), now);
     }
--- a/serving/src/target_table.cpp
+++ b/serving/src/target_table.cpp
@@ -283,7 +283,7 @@
                                      std::optional<double> per_second,
                                      time_point now)
 {
-    bool const was_limited = t.rate.active(now);
+    bool const was_limited = t.rate.active();
     t.rate.update(per_second, now);
     if (was_limited != per_second.has_value())
     {
@@ -384,7 +384,7 @@
                      : t->resting                          ? counts.resting
                      : now < t->avoid_until                ? counts.failing
                      : now < t->cold_until                 ? counts.cold
-                     : t->rate.active(now)                 ? counts.limited
+                     : t->rate.active()                    ? counts.limited
                      : t->admitted_share < 1.0             ? counts.full
                                                            : counts.ready;
         ++count;
