Send skipped and given-up parts of a query once it needs them

Change: a shard whose attempts are all overdue no longer counts on when skipped shards are held back; a part given up for the budget is deferred and sent again when the query cannot succeed without it.

--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -93,8 +93,7 @@
 
 void request_engine::details::send_deferred(running_request& r, time_point now)
 {
-    int missing = needed(r) - r.count(shard_state::answered) -
-                  r.count(shard_state::waiting);
+    int missing = needed(r) - r.expected();
     time_point next = never;
     for (std::size_t i = 0; i < r.shards.size() && missing > 0; ++i)
     {
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -122,6 +122,10 @@
     void erase_if_finished(request_handle request);
 
     void on_overdue(attempt_handle attempt, time_point now);
+    /// Sends a hedge for an overdue attempt if the retry budget allows it, else
+    /// checks again later.
+    void hedge(running_request& r, std::size_t shard, attempt_handle attempt,
+               time_point now);
     void on_attempt_expired(attempt_handle attempt);
     void on_expired(request_handle request, time_point now);
 
--- a/serving/src/details/engine_replies.cpp
+++ b/serving/src/details/engine_replies.cpp
@@ -104,6 +104,7 @@
     }
     shard_progress& s = r->shards[a.shard];
     --s.outstanding;
+    s.overdue -= a.overdue ? 1 : 0;
     --r->outstanding;
     auto const tried =
         std::find_if(s.tries.begin(), s.tries.end(),
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -85,9 +85,7 @@
 
 bool request_engine::details::can_skip_shard(running_request const& r) const
 {
-    return r.matched_route->scatters() &&
-           r.count(shard_state::answered) + r.count(shard_state::waiting) >
-               needed(r);
+    return r.matched_route->scatters() && r.expected() > needed(r);
 }
 
 bool request_engine::details::should_skip_shard(running_request const& r,
@@ -260,8 +258,13 @@
     bool const dispensable =
         can_skip_shard(r) &&
         budget(s.service).mostly_spent(fleet_.hosts(now), now);
-    if (may_repeat(r, s, now) && !(arrived && dispensable) &&
-        may_retry(s, now) && send(r, shard, false, now))
+    bool const repeatable = may_repeat(r, s, now);
+    if (repeatable && arrived && dispensable)
+    {
+        s.current_state = shard_state::deferred;
+        s.resend_at = now;
+    }
+    else if (repeatable && may_retry(s, now) && send(r, shard, false, now))
     {
         return;
     }
@@ -280,18 +283,36 @@
         return;
     }
     running_attempt& a = found->second;
-    if (!a.overdue)
+    bool const newly_overdue = !a.overdue;
+    if (newly_overdue)
     {
         a.overdue = true;
         ++a.to->overdue;
     }
     auto const entry = requests_.find(a.request);
-    if (entry == requests_.end() || entry->second.finished)
+    if (entry == requests_.end())
     {
         return;
     }
     running_request& r = entry->second;
+    r.shards[a.shard].overdue += newly_overdue ? 1 : 0;
+    if (r.finished)
+    {
+        return;
+    }
     std::size_t const shard = a.shard;
+    request_handle const handle = r.handle;
+    hedge(r, shard, attempt, now);
+    if (newly_overdue)
+    {
+        try_complete(r, now);
+        erase_if_finished(handle);
+    }
+}
+
+void request_engine::details::hedge(running_request& r, std::size_t shard,
+                                    attempt_handle attempt, time_point now)
+{
     shard_progress& s = r.shards[shard];
     if (!r.matched_route->idempotent ||
         s.current_state != shard_state::waiting || s.outstanding > 1 ||
--- a/serving/src/details/running_request.hpp
+++ b/serving/src/details/running_request.hpp
@@ -37,7 +37,7 @@
     {
         waiting,
         answered,
-        deferred, ///< not sent while the request can succeed without it
+        deferred, ///< nothing is sent while the request can succeed without it
         lost,     ///< failed: nothing more is sent
     };
 
@@ -46,15 +46,23 @@
     std::vector<target_try> tries{};
     int sends = 0;
     /// Earliest time of the next send of a shard that was deferred after a
-    /// refusal; time_point{} if that has not happened.
+    /// send; time_point{} if that has not happened.
     time_point resend_at{};
     int outstanding = 0;
+    int overdue = 0; ///< of the outstanding attempts; <= outstanding
     bool may_have_run = false;
     std::string stamp{};
     std::string part{};
     char const* cause = ""; ///< of the last failed send
     int status = 0;         ///< of the last failed send
 
+    /// Whether all of its outstanding attempts are overdue.
+    bool late() const
+    {
+        return current_state == state::waiting && outstanding > 0 &&
+               outstanding == overdue;
+    }
+
     /// Number of targets that the request was sent to.
     int targets_used() const
     {
@@ -90,6 +98,19 @@
             [=](shard_progress const& s) { return s.current_state == state; }));
     }
 
+    /// Shards that have answered or are expected to answer in time.
+    int expected() const
+    {
+        return static_cast<int>(std::count_if(
+            shards.begin(), shards.end(),
+            [](shard_progress const& s)
+            {
+                return s.current_state == shard_progress::state::answered ||
+                       (s.current_state == shard_progress::state::waiting &&
+                        !s.late());
+            }));
+    }
+
     bool may_have_run() const
     {
         return std::any_of(shards.begin(), shards.end(),
