Answer every request before a planned stop ends

Change: when a shutdown begins, no deadline is later than the time at which the last answers must be written (0.9 s before the end of the grace); a request that is not done by then gets an answer that promises nothing (504), and one that cannot be expected to end by then is refused unsent (503). Changed retry settings now reach the budgets in use; they used to apply to new services only.

Measured: the soak sends requests that never end to the first host during its planned stop.

--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -49,6 +49,9 @@
     /// exit.
     void refuse_new_requests() { refusing_requests_ = true; }
 
+    /// Answers all requests by `end`, because this host exits soon after it.
+    void end_by(time_point end);
+
     /// Enforces the time limits of connections. To be called about ten times
     /// per second.
     void sweep();
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -63,6 +63,12 @@
         });
 }
 
+void front_service::end_by(time_point end)
+{
+    engine_.end_by(end);
+    arm_timer();
+}
+
 void front_service::sweep()
 {
     server_.sweep();
--- a/host/src/query_host_lifecycle.cpp
+++ b/host/src/query_host_lifecycle.cpp
@@ -24,8 +24,10 @@
 /// period is short.
 constexpr duration accept_after_sigterm = 2900ms;
 /// Parts of the shutdown grace period reserved at its end: the last one for the
-/// exit, and the one before it for the requests accepted last.
+/// exit, the one before it to write the answers of requests that have not ended
+/// by then, and the first one for the requests accepted last.
 constexpr duration exit_margin = 700ms;
+constexpr duration last_answers_margin = 200ms;
 constexpr duration last_requests_margin = 500ms;
 
 } // namespace
@@ -128,6 +130,8 @@
     fleet_.set_ready(false);
     fleet_.set_leaving();
     front_.server().set_closing();
+    front_.end_by(*leaving_since_ + settings_.shutdown_grace - exit_margin -
+                  last_answers_margin);
     send(fleet_.announce());
 }
 
@@ -138,9 +142,9 @@
         return;
     }
     duration const since = now - *leaving_since_;
-    if (since <
-        std::min(accept_after_sigterm,
-                 settings_.shutdown_grace - exit_margin - last_requests_margin))
+    if (since < std::min(accept_after_sigterm,
+                         settings_.shutdown_grace - exit_margin -
+                             last_answers_margin - last_requests_margin))
     {
         return;
     }
--- a/serving/include/serving/request_engine.hpp
+++ b/serving/include/serving/request_engine.hpp
@@ -59,7 +59,11 @@
     void confirm_catalogue(time_point now);
     /// The configuration in force, or null before the first one.
     route_catalogue const* catalogue() const;
+    /// Applies changed settings, also to the retry budgets in use.
     void set_options(serving_options const& options);
+    /// This host exits soon after `end`: all requests get their answer by then,
+    /// and those that cannot be expected to end before it are refused.
+    void end_by(time_point end);
 
     /// Admits or refuses a request.
     void submit(client_request const& request, time_point now);
--- a/serving/src/details/engine_admission.cpp
+++ b/serving/src/details/engine_admission.cpp
@@ -131,7 +131,7 @@
         spent =
             statistics(matched_route).estimate_spent_time(request.time_left);
     }
-    r.deadline = now + wait;
+    r.deadline = std::min(now + wait, end_at_);
     r.partial_answer_at = now + std::max(matched_route.latency_objective -
                                              spent - options_.answer_margin,
                                          matched_route.latency_objective / 4);
@@ -146,6 +146,16 @@
     {
         r.shards.push_back({.service = choose_service(matched_route)});
     }
+    if (r.deadline == end_at_ &&
+        now + statistics(matched_route).latency.overdue_after() > end_at_)
+    {
+        // Another host has the time to serve it.
+        refuse(r.handle, r.type(), error_kind::leaving);
+        port_.log_request(r.handle,
+                          summarize(r, summary_kind::failed,
+                                    answer_of(error_kind::leaving).code, now));
+        return;
+    }
     for (auto const& s : r.shards)
     {
         budget(s.service).count_request(now);
--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -23,6 +23,29 @@
 {
 }
 
+void request_engine::details::set_options(serving_options const& options)
+{
+    options_ = options;
+    for (auto& [service, b] : budgets_)
+    {
+        b.configure(options_.retry_ratio, options_.retry_slack,
+                    options_.retry_window, options_.started);
+    }
+}
+
+void request_engine::details::end_by(time_point end)
+{
+    end_at_ = end;
+    for (auto& [handle, r] : requests_)
+    {
+        if (!r.finished && r.deadline > end)
+        {
+            r.deadline = end;
+            timers_.push({end, timer_kind::request_expires, handle});
+        }
+    }
+}
+
 route_statistics&
 request_engine::details::statistics(route const& matched_route)
 {
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -26,6 +26,8 @@
     void on_reply(attempt_handle attempt, target_reply& reply, time_point now);
     bool may_send(attempt_handle attempt, time_point now) const;
     void tick(time_point now);
+    void set_options(serving_options const& options);
+    void end_by(time_point end);
 
     std::optional<double> least_budget_left(time_point now);
 
@@ -34,6 +36,7 @@
     time_point confirmed_at_{};        ///< last confirm_catalogue
     engine_counters counters_;
     serving_options options_;
+    time_point end_at_ = never; ///< no request's deadline is later
     timer_queue timers_;
     std::unordered_map<request_handle, running_request> requests_;
 
--- a/serving/src/request_engine.cpp
+++ b/serving/src/request_engine.cpp
@@ -46,7 +46,12 @@
 
 void request_engine::set_options(serving_options const& options)
 {
-    details_->options_ = options;
+    details_->set_options(options);
+}
+
+void request_engine::end_by(time_point end)
+{
+    details_->end_by(end);
 }
 
 void request_engine::submit(client_request const& request, time_point now)
