Mend four faults found by reading: accept, escapes, dead busy hosts, suspects

Each with a test that failed before: - accept failed again at once while there were no descriptors, and the loop spun; it now pauses 50 ms and is counted ('a lack of descriptors pauses accepting'). - '%-0' decoded to NUL (from_chars takes a sign). - dead hosts that had called themselves busy enlarged the serving set: 51 hosts where 6 serve. - a host that was suspect before this machine was suspended was declared dead right after it; it now gets its whole time to deny it.

--- a/eventloop/include/eventloop/http_server.hpp
+++ b/eventloop/include/eventloop/http_server.hpp
@@ -75,6 +75,8 @@
     void sweep();
 
     std::size_t connections() const { return connections_.size(); }
+    /// Connections that could not be accepted, each followed by a short pause.
+    std::uint64_t accept_failures() const { return accept_failures_; }
     /// Number of requests that have been read but not answered.
     std::size_t open_exchanges() const { return exchanges_.size(); }
     /// Number of requests that have been read but not answered, plus responses
@@ -93,6 +95,8 @@
     clock const& time_;
     request_handler& handler_;
     asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer accept_timer_;
+    std::uint64_t accept_failures_ = 0;
     serving::edge_limits limits_;
     bool closing_ = false;
     exchange_id last_exchange_ = 0;
--- a/eventloop/src/http_server.cpp
+++ b/eventloop/src/http_server.cpp
@@ -7,12 +7,22 @@
 namespace kumquatramp::eventloop
 {
 
+namespace
+{
+
+/// Pause after a failed accept: a lack of descriptors or memory lasts for a
+/// while, and the pending connection would make accept fail again at once.
+constexpr duration accept_retry_pause = 50ms;
+
+} // namespace
+
 http_server::http_server(asio::io_context& loop, clock const& time,
                          request_handler& handler)
     : loop_(loop)
     , time_(time)
     , handler_(handler)
     , acceptor_(loop)
+    , accept_timer_(loop)
 {
 }
 
@@ -37,10 +47,21 @@
             {
                 return;
             }
-            if (!failed)
+            if (failed)
             {
-                add_connection(std::move(socket));
+                ++accept_failures_;
+                accept_timer_.expires_after(accept_retry_pause);
+                accept_timer_.async_wait(
+                    [this](asio::error_code const& cancelled)
+                    {
+                        if (!cancelled && acceptor_.is_open())
+                        {
+                            accept();
+                        }
+                    });
+                return;
             }
+            add_connection(std::move(socket));
             accept();
         });
 }
--- a/eventloop/src/request_target.cpp
+++ b/eventloop/src/request_target.cpp
@@ -46,9 +46,8 @@
         constexpr std::size_t escape_length = 3;
         int code = 0;
         char const* const first = text.data() + 1;
-        if (text.size() < escape_length ||
-            std::from_chars(first, first + 2, code, 16).ptr != first + 2 ||
-            code < 0)
+        if (text.size() < escape_length || *first == '-' ||
+            std::from_chars(first, first + 2, code, 16).ptr != first + 2)
         {
             return std::nullopt;
         }
--- a/eventloop/tests/http_server_test.cpp
+++ b/eventloop/tests/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <eventloop/http_message.hpp>
 #include <eventloop/http_server.hpp>
+#include <sys/resource.h>
 #include <vector>
 
 namespace kumquatramp::eventloop
@@ -245,6 +246,28 @@
     CHECK(c.received() == ok(body));
 }
 
+// Guards against a process that spins while it has no descriptors left.
+TEST_CASE("a lack of descriptors pauses accepting and then it resumes")
+{
+    fixture f;
+    auto c = f.client();
+    rlimit before{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+    rlimit none = before;
+    none.rlim_cur = 0;
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    for (int i = 0; i < 200; ++i)
+    {
+        f.run(1);
+    }
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+    CHECK(f.server.accept_failures() >= 1);
+    CHECK(f.server.accept_failures() <= 20);
+    c.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    c.receive_until(f.loop, "/1");
+    CHECK(f.targets == std::vector<std::string>{"/1"});
+}
+
 TEST_CASE("a connection above the limit is refused and the others continue")
 {
     fixture f;
--- a/eventloop/tests/request_target_test.cpp
+++ b/eventloop/tests/request_target_test.cpp
@@ -20,7 +20,7 @@
 
 TEST_CASE("malformed percent escapes are rejected")
 {
-    for (auto const* text : {"%", "%4", "%zz", "%-1", "a%2"})
+    for (auto const* text : {"%", "%4", "%zz", "%-1", "%-0", "a%2"})
     {
         CAPTURE(text);
         CHECK_FALSE(decode_percent(text));
--- a/fleet/include/fleet/fleet_view.hpp
+++ b/fleet/include/fleet/fleet_view.hpp
@@ -51,12 +51,16 @@
     /// cannot wait for the next pings.
     std::vector<outgoing_message> announce() const;
 
-    /// Drops the outstanding probes. To be called after this machine was
-    /// suspended, when a missing ack says nothing about the other host.
-    void discard_probes();
+    /// Drops the outstanding probes and gives suspects their whole time again.
+    /// To be called after this machine was suspended, when a missing ack or
+    /// denial says nothing about the other host.
+    void forgive_silence(time_point now);
 
     /// IPs of the hosts that a client in this zone should use: the ready hosts
     /// of the serving set, only those of its zone if the zone has enough.
+    /// Remote hosts are left out if the other zones have enough: a query
+    /// fetches many parts for one answer, so it is cheaper for the client to
+    /// cross zones.
     std::vector<std::string> directory(std::string_view zone) const;
 
     /// Whether this host belongs to the serving set: the hosts of each zone
--- a/fleet/src/fleet_view.cpp
+++ b/fleet/src/fleet_view.cpp
@@ -282,9 +282,16 @@
     return out;
 }
 
-void fleet_view::discard_probes()
+void fleet_view::forgive_silence(time_point now)
 {
     probes_.clear();
+    for (auto& [ip, p] : peers_)
+    {
+        if (p.state.health == peer_health::suspect)
+        {
+            p.changed_at = now;
+        }
+    }
 }
 
 } // namespace kumquatramp::fleet
--- a/fleet/src/serving_set.cpp
+++ b/fleet/src/serving_set.cpp
@@ -44,7 +44,7 @@
     std::size_t candidates = 0;
     auto const add = [&](peer_state const& state)
     {
-        busy += state.busy ? state.weight : 0;
+        busy += state.busy && state.live() ? state.weight : 0;
         if (!state.leaving && state.health == peer_health::alive)
         {
             zones[state.zone].push_back(&state);
--- a/fleet/tests/fleet_view_test.cpp
+++ b/fleet/tests/fleet_view_test.cpp
@@ -185,6 +185,51 @@
     CHECK(simulation.serving() == 6);
 }
 
+TEST_CASE("a busy host that has died does not enlarge the serving set")
+{
+    fleet_simulation simulation(mixed_weights(), 3, 4);
+    start_all(simulation);
+    simulation.run(8s);
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        simulation.view(i).set_busy(true);
+    }
+    simulation.run(8s);
+    CHECK(simulation.serving() > 6);
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        simulation.kill(i);
+    }
+    simulation.run(10s);
+    // Three strong hosts and as many weak ones as make up for the lost ones.
+    CHECK(simulation.serving() <= 3 + 1500 / 84 + 3);
+}
+
+TEST_CASE("a suspect is not declared dead right after a suspension")
+{
+    testing::null_log log;
+    seeded_random random(1);
+    time_point const start(1h);
+    fleet_view view({.ip = "10.0.0.1", .zone = "z", .incarnation = 1}, {},
+                    random, log, start);
+    fleet_message news{.kind = message_kind::ping,
+                       .states = {{.ip = "10.0.0.2",
+                                   .zone = "z",
+                                   .incarnation = 1,
+                                   .health = peer_health::suspect}}};
+    view.handle_message("10.0.0.2", news, start);
+    time_point const resumed = start + 20s;
+    view.forgive_silence(resumed);
+    view.tick(resumed);
+    CHECK(view.live_hosts() == 2);
+    // It still has to deny the suspicion.
+    for (time_point now = resumed; now < resumed + 4s; now += 500ms)
+    {
+        view.tick(now);
+    }
+    CHECK(view.live_hosts() == 1);
+}
+
 TEST_CASE("the states that a host sends do not grow with the fleet")
 {
     auto const states_per_second = [](std::size_t hosts)
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -160,7 +160,7 @@
             "host.resumed", settings_.name,
             fmt::format("suspended for {} ms", (suspended - suspended_) / 1ms));
         follower_.restart(now);
-        fleet_.discard_probes();
+        fleet_.forgive_silence(now);
     }
     suspended_ = suspended;
     measure_lateness(now);
