Compare members by ranges of hosts

Change: from 64 hosts on a pull carries 64 digests, one a range of hosts, and only the states of ranges that differ are sent. Hosts of the version before ignore the new field and are answered as before.

--- a/fleet/include/fleet/fleet_message.hpp
+++ b/fleet/include/fleet/fleet_message.hpp
@@ -27,6 +27,8 @@
     std::string subject{};      ///< indirect_ping: IP of the host to ping
     std::uint64_t digest = 0;   ///< pull: digest of all states the sender knows
     std::vector<peer_state> states{}; ///< updates carried by any kind
+    /// pull: digests by range of hosts, or empty
+    std::vector<std::uint64_t> range_digests{};
 };
 
 /// A message and the IP of the host to send it to.
--- a/fleet/include/fleet/fleet_view.hpp
+++ b/fleet/include/fleet/fleet_view.hpp
@@ -58,9 +58,6 @@
 
     /// IPs of the hosts that a client in this zone should use: the ready hosts
     /// of the serving set, only those of its zone if the zone has enough.
-    /// Remote hosts are left out if the other zones have enough: a query
-    /// fetches many parts for one answer, so it is cheaper for the client to
-    /// cross zones.
     std::vector<std::string> directory(std::string_view zone) const;
 
     /// Whether this host belongs to the serving set: the hosts of each zone
@@ -113,7 +110,12 @@
     void merge(peer_state const& state, bool disseminate, time_point now);
     void enqueue_update(std::string const& ip);
     std::vector<peer_state> next_updates();
+    /// Digests of the states by range of hosts; empty in a small fleet, whose
+    /// states are compared as a whole.
+    std::vector<std::uint64_t> range_digests() const;
     std::uint64_t digest() const;
+    void answer_pull(std::string const& sender, fleet_message const& message,
+                     std::vector<outgoing_message>& out) const;
     std::vector<std::string> live_ips() const;
     std::vector<std::string> choose_proxies(std::string const& ip) const;
     std::string pick_random(std::vector<std::string> const& ips) const;
--- a/fleet/src/fleet_probes.cpp
+++ b/fleet/src/fleet_probes.cpp
@@ -203,7 +203,8 @@
         out.push_back({destination,
                        {.kind = message_kind::pull,
                         .digest = digest(),
-                        .states = {self_}}});
+                        .states = {self_},
+                        .range_digests = range_digests()}});
     }
 }
 
--- a/fleet/src/fleet_view.cpp
+++ b/fleet/src/fleet_view.cpp
@@ -15,6 +15,25 @@
 constexpr std::size_t max_states_per_push = 24;
 /// An update is sent this many times per doubling of the fleet size.
 constexpr int transmissions_per_doubling = 3;
+
+/// Ranges by which the states of larger fleets are compared: a difference costs
+/// the states of its range and not those of the whole fleet.
+constexpr std::size_t range_count = 64;
+/// In smaller fleets the digests of the ranges are larger than the states.
+constexpr std::size_t min_peers_for_ranges = 64;
+
+std::size_t range_of(std::string_view ip)
+{
+    return stable_hash(ip) % range_count;
+}
+
+std::uint64_t state_digest(peer_state const& s)
+{
+    return rendezvous_weight(
+        s.ip, std::to_string(s.incarnation) + '/' + std::to_string(s.version) +
+                  '/' + std::to_string(static_cast<int>(s.health)));
+}
+
 } // namespace
 
 fleet_view::fleet_view(peer_state self, std::vector<std::string> seeds,
@@ -178,22 +197,67 @@
     return out;
 }
 
+std::vector<std::uint64_t> fleet_view::range_digests() const
+{
+    if (peers_.size() < min_peers_for_ranges)
+    {
+        return {};
+    }
+    std::vector<std::uint64_t> digests(range_count, 0);
+    digests[range_of(self_.ip)] ^= state_digest(self_);
+    for (auto const& [ip, p] : peers_)
+    {
+        digests[range_of(ip)] ^= state_digest(p.state);
+    }
+    return digests;
+}
+
 std::uint64_t fleet_view::digest() const
 {
-    std::uint64_t sum = 0;
-    auto const add = [&](peer_state const& s)
+    std::uint64_t sum = state_digest(self_);
+    for (auto const& [ip, p] : peers_)
+    {
+        sum ^= state_digest(p.state);
+    }
+    return sum;
+}
+
+void fleet_view::answer_pull(std::string const& sender,
+                             fleet_message const& message,
+                             std::vector<outgoing_message>& out) const
+{
+    if (message.digest == digest())
+    {
+        return;
+    }
+    auto const own = range_digests();
+    bool const by_range =
+        !own.empty() && message.range_digests.size() == own.size();
+    std::vector<peer_state> states{self_};
+    auto const push = [&]
     {
-        sum ^= rendezvous_weight(
-            s.ip, std::to_string(s.incarnation) + '/' +
-                      std::to_string(s.version) + '/' +
-                      std::to_string(static_cast<int>(s.health)));
+        out.push_back(
+            {sender,
+             {.kind = message_kind::push, .states = std::move(states)}});
+        states.clear();
     };
-    add(self_);
     for (auto const& [ip, p] : peers_)
     {
-        add(p.state);
+        std::size_t const range = range_of(ip);
+        if (by_range && own[range] == message.range_digests[range])
+        {
+            continue;
+        }
+        states.push_back(p.state);
+        if (states.size() >= max_states_per_push)
+        {
+            push();
+        }
+    }
+    if (!states.empty())
+    {
+        push();
     }
-    return sum;
 }
 
 std::vector<outgoing_message>
@@ -244,27 +308,7 @@
                         .states = {self_}}});
         break;
     case message_kind::pull:
-        if (message.digest != digest())
-        {
-            std::vector<peer_state> states{self_};
-            for (auto const& [ip, p] : peers_)
-            {
-                states.push_back(p.state);
-                if (states.size() >= max_states_per_push)
-                {
-                    out.push_back({sender,
-                                   {.kind = message_kind::push,
-                                    .states = std::move(states)}});
-                    states.clear();
-                }
-            }
-            if (!states.empty())
-            {
-                out.push_back({sender,
-                               {.kind = message_kind::push,
-                                .states = std::move(states)}});
-            }
-        }
+        answer_pull(sender, message, out);
         break;
     case message_kind::push:
         break;
--- a/fleet/tests/fleet_view_test.cpp
+++ b/fleet/tests/fleet_view_test.cpp
@@ -249,4 +249,36 @@
     CHECK(large < small * 2);
 }
 
+// Guards against comparisons that send the whole fleet's states for each
+// change.
+TEST_CASE(
+    "load pattern steady changes: a host's share of them grows slower than "
+    "the fleet")
+{
+    auto const states_per_second = [](std::size_t hosts)
+    {
+        fleet_simulation simulation(std::vector<std::uint32_t>(hosts, 84), 3,
+                                    7);
+        start_all(simulation);
+        simulation.run(15s);
+        auto const before = simulation.states_sent();
+        constexpr int seconds = 10;
+        for (int i = 0; i < seconds; ++i)
+        {
+            // About as many changes a second as a fleet sees under load.
+            for (std::size_t k = 0; k < 2; ++k)
+            {
+                simulation.view(k).set_busy(i % 2 == 0);
+            }
+            simulation.run(1s);
+        }
+        return static_cast<double>(simulation.states_sent() - before) /
+               seconds / static_cast<double>(hosts);
+    };
+    double const small = states_per_second(100);
+    double const large = states_per_second(400);
+    INFO("states a second and host: " << small << " and " << large);
+    CHECK(large < small * 2);
+}
+
 } // namespace kumquatramp::fleet
--- a/host/src/gossip_codec.cpp
+++ b/host/src/gossip_codec.cpp
@@ -1,6 +1,9 @@
 // Layout of an encoded message:
 // [version, kind, sequence, subject, digest,
-//  [[ip, zone, incarnation, version, health, flags, weight], ...]]
+//  [[ip, zone, incarnation, version, health, flags, weight], ...],
+//  [range digest, ...]]
+// Fields that are missing at the end keep their defaults and further ones are
+// ignored, so that hosts of two versions understand each other.
 #include "gossip_codec.hpp"
 #include <msgpack.hpp>
 #include <tuple>
@@ -21,7 +24,7 @@
                unsigned, std::uint32_t>;
 using packed_message =
     std::tuple<unsigned, unsigned, std::uint32_t, std::string, std::uint64_t,
-               std::vector<packed_state>>;
+               std::vector<packed_state>, std::vector<std::uint64_t>>;
 
 packed_state pack_state(fleet::peer_state const& s)
 {
@@ -48,11 +51,11 @@
         packed_states.push_back(pack_state(s));
     }
     msgpack::sbuffer buffer;
-    msgpack::pack(buffer,
-                  packed_message(format_version,
-                                 static_cast<unsigned>(message.kind),
-                                 message.sequence, message.subject,
-                                 message.digest, std::move(packed_states)));
+    msgpack::pack(
+        buffer,
+        packed_message(format_version, static_cast<unsigned>(message.kind),
+                       message.sequence, message.subject, message.digest,
+                       std::move(packed_states), message.range_digests));
     return {buffer.data(), buffer.size()};
 }
 
@@ -63,8 +66,8 @@
     try
     {
         auto const handle = msgpack::unpack(bytes.data(), bytes.size());
-        auto [version, kind, sequence, subject, digest, packed_states] =
-            handle.get().as<packed_message>();
+        auto [version, kind, sequence, subject, digest, packed_states,
+              range_digests] = handle.get().as<packed_message>();
         if (version != format_version ||
             kind > static_cast<unsigned>(fleet::message_kind::push))
         {
@@ -75,6 +78,7 @@
         message.sequence = sequence;
         message.subject = std::move(subject);
         message.digest = digest;
+        message.range_digests = std::move(range_digests);
         for (auto const& [ip, zone, incarnation, state_version, health, flags,
                           weight] : packed_states)
         {
--- a/host/tests/host_settings_test.cpp
+++ b/host/tests/host_settings_test.cpp
@@ -72,6 +72,7 @@
                               .leaving = false,
                               .busy = true,
                               .weight = 170});
+    message.range_digests = {1, 1ULL << 63U};
     std::string const bytes = encode_message(message);
     auto const decoded = decode_message(bytes);
     REQUIRE(decoded);
@@ -82,6 +83,7 @@
     CHECK(s.health == fleet::peer_health::suspect);
     CHECK(s.ready);
     CHECK(s.busy);
+    CHECK(decoded.value().range_digests == message.range_digests);
     CHECK_FALSE(s.leaving);
     for (std::size_t size = 0; size < bytes.size(); ++size)
     {
