--- a/host/src/query_host_endpoints.cpp
+++ b/host/src/query_host_endpoints.cpp
@@ -80,6 +80,7 @@
     auto const& engine_counters = front_.engine().counters();
     auto const count = [&](std::string_view name, std::uint64_t value)
     { print_metric(text, name, static_cast<double>(value)); };
+    count("far_sends_total", engine_counters.far_sends);
     count("hedges_total", engine_counters.hedges);
     count("retries_total", engine_counters.retries);
     count("hedges_denied_total", engine_counters.hedges_denied);
@@ -117,6 +118,8 @@
                  static_cast<double>(front_.engine().in_progress()));
     print_metric(text, "client_connections",
                  static_cast<double>(front_.server().connections()));
+    print_metric(text, "client_accept_failures_total",
+                 static_cast<double>(front_.server().accept_failures()));
     print_metric(text, "target_connections", static_cast<double>(pool.open));
     print_metric(text, "target_connections_idle",
                  static_cast<double>(pool.idle));
--- a/serving/include/serving/engine_counters.hpp
+++ b/serving/include/serving/engine_counters.hpp
@@ -10,8 +10,9 @@
 /// Totals since the start of the engine.
 struct engine_counters
 {
-    std::uint64_t hedges = 0;  ///< second sends while an overdue one is open
-    std::uint64_t retries = 0; ///< sends after a failed or refused one
+    std::uint64_t far_sends = 0; ///< to targets in other availability zones
+    std::uint64_t hedges = 0;    ///< second sends while an overdue one is open
+    std::uint64_t retries = 0;   ///< sends after a failed or refused one
     /// Retry budget exhausted; counted at each check of an overdue attempt.
     std::uint64_t hedges_denied = 0;
     std::uint64_t retries_denied = 0; ///< not sent: retry budget exhausted
--- a/serving/include/serving/target_table.hpp
+++ b/serving/include/serving/target_table.hpp
@@ -68,6 +68,9 @@
     choose_for_hedge(std::string_view service, duration usual,
                      std::span<target const* const> tried, time_point now);
 
+    /// Whether the target is in this host's availability zone.
+    bool is_near(target const& t) const { return t.record.zone == own_zone_; }
+
     /// Whether a request may be sent to this target now.
     bool may_send(target const& t) const;
 
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -182,6 +182,7 @@
     ++s.outstanding;
     ++r.outstanding;
     ++to->in_flight;
+    counters_.far_sends += table_.is_near(*to) ? 0 : 1;
     if (to->rate.active())
     {
         to->rate.spend(place_for(*to, now), now);
--- a/serving/src/replica_choice.cpp
+++ b/serving/src/replica_choice.cpp
@@ -57,7 +57,7 @@
     double const failing =
         decayed(t.failure_share, 0.0, t.failure_at, now, failure_half_life_ms);
     ms += failing * (usual_ms * 4.0 + 20.0);
-    if (t.record.zone != own_zone_)
+    if (!is_near(t))
     {
         ms += usual_ms * cross_zone_penalty_share + cross_zone_penalty_ms;
     }
