Keep a part that cannot be sent beside a late one

Cause: found when the diff was read again. A part tried because another shard was late counted as lost if its target had no room or the budget no send at that moment, although the query did not need it yet; when the late shard then failed, it was not tried again.

Change: it is lost only if the query needs it at that moment, else it stays deferred. The test, 'a part that cannot be sent beside a late one is sent once the query needs it', failed three checks before.

--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -116,6 +116,10 @@
 
 void request_engine::details::send_deferred(running_request& r, time_point now)
 {
+    // A late shard may still answer: one that is sent beside it is not lost if
+    // that is impossible now.
+    int required = needed(r) - r.count(shard_state::answered) -
+                   r.count(shard_state::waiting);
     int missing = needed(r) - r.expected();
     time_point next = never;
     for (std::size_t i = 0; i < r.shards.size() && missing > 0; ++i)
@@ -132,11 +136,14 @@
             continue;
         }
         s.current_state = shard_state::waiting;
-        if (!may_retry(s, now) || !send(r, i, false, now))
+        if (may_retry(s, now) && send(r, i, false, now))
         {
-            s.current_state = shard_state::lost;
-            ++missing;
+            --required;
+            continue;
         }
+        s.current_state =
+            required > 0 ? shard_state::lost : shard_state::deferred;
+        ++missing;
     }
     if (next != never)
     {
--- a/serving/tests/engine_fixture.cpp
+++ b/serving/tests/engine_fixture.cpp
@@ -106,22 +106,18 @@
 
 void engine_fixture::reply_ok(std::string const& target, std::string body)
 {
-    attempt_handle const attempt = newest_at(target);
-    open_.erase(attempt);
     target_reply r;
     r.kind = reply_kind::answered;
     r.status = 200;
     r.stamped = true;
     r.stamp = "stamp-" + target;
     r.body = std::move(body);
-    engine.on_reply(attempt, r, now);
+    reply(target, std::move(r));
 }
 
 void engine_fixture::reply(std::string const& target, reply_kind kind,
                            int status)
 {
-    attempt_handle const attempt = newest_at(target);
-    open_.erase(attempt);
     target_reply r;
     r.kind = kind;
     r.status = status;
@@ -129,6 +125,13 @@
     r.stamp = r.stamped ? "stamp-" + target : "";
     r.misdirected = status == 421;
     r.cause = "by the test";
+    reply(target, std::move(r));
+}
+
+void engine_fixture::reply(std::string const& target, target_reply r)
+{
+    attempt_handle const attempt = newest_at(target);
+    open_.erase(attempt);
     engine.on_reply(attempt, r, now);
 }
 
--- a/serving/tests/engine_fixture.hpp
+++ b/serving/tests/engine_fixture.hpp
@@ -70,6 +70,7 @@
     /// Replies to the newest open attempt at a target.
     void reply_ok(std::string const& target, std::string body = "part");
     void reply(std::string const& target, reply_kind kind, int status = 0);
+    void reply(std::string const& target, target_reply r);
     /// Replies to all open attempts except those at the targets named.
     void reply_all_but(std::vector<std::string> const& silent = {});
 
--- a/serving/tests/lost_parts_test.cpp
+++ b/serving/tests/lost_parts_test.cpp
@@ -155,4 +155,37 @@
     CHECK(fixture.answers.at(1000).missing_parts == 1);
 }
 
+TEST_CASE(
+    "load pattern slow shard: a part that cannot be sent beside a late one "
+    "is sent once the query needs it")
+{
+    fixture_with_lone_target fixture;
+    auto const& lone = fixture.table.replicas("s0").front();
+    fixture.submit(1, "/all/x");
+    fixture.advance(20ms);
+    // The part of s0 is refused, and its target has no room for a while.
+    fixture.table.report_rate_limit(*lone, 0.0, fixture.now);
+    fixture.reply("s0-zone-a", {.kind = reply_kind::not_executed,
+                                .status = 503,
+                                .stamp = "",
+                                .body = "",
+                                .rate_limit = 0.0});
+    fixture.reply_all_but(fixture.targets_of(4));
+    fixture.advance_in_steps(100ms);
+    CHECK(fixture.sends_to("s0-zone-a") == 1);
+    fixture.table.report_rate_limit(*lone, std::nullopt, fixture.now);
+    for (auto const& t : fixture.targets_of(4))
+    {
+        if (fixture.open_at(t))
+        {
+            fixture.reply(t, reply_kind::broken);
+        }
+    }
+    CHECK(fixture.sends_to("s0-zone-a") == 2);
+    fixture.reply_all_but();
+    REQUIRE(fixture.answers.contains(1));
+    CHECK(fixture.answers.at(1).what == client_answer::form::merged);
+    CHECK(fixture.answers.at(1).missing_parts == 1);
+}
+
 } // namespace kumquatramp::serving
