--- a/serving/tests/lost_parts_test.cpp
+++ b/serving/tests/lost_parts_test.cpp
@@ -17,6 +17,12 @@
     return std::string("s").append(std::to_string(number));
 }
 
+/// The id that the fixture gives to the target of a service in a zone.
+std::string target_id(std::string id, std::string const& zone)
+{
+    return id.append("-").append(zone);
+}
+
 std::vector<std::string> const zones{"zone-a", "zone-b", "zone-c"};
 
 /// Ten shards of three targets each, s0 of one; nine are required.
@@ -62,9 +68,10 @@
     std::vector<std::string> targets_of(int shard) const
     {
         std::vector<std::string> names;
+        names.reserve(zones.size());
         for (auto const& zone : zones)
         {
-            names.push_back(shard_name(shard) + "-" + zone);
+            names.push_back(target_id(shard_name(shard), zone));
         }
         return names;
     }
@@ -126,9 +133,9 @@
     {
         for (auto const& zone : zones)
         {
-            if (fixture.open_at(shard + "-" + zone))
+            if (fixture.open_at(target_id(shard, zone)))
             {
-                fixture.reply(shard + "-" + zone, reply_kind::broken);
+                fixture.reply(target_id(shard, zone), reply_kind::broken);
                 return;
             }
         }
@@ -139,7 +146,7 @@
         std::size_t count = 0;
         for (auto const& zone : zones)
         {
-            count += fixture.sends_to(shard + "-" + zone);
+            count += fixture.sends_to(target_id(shard, zone));
         }
         return count;
     };
--- a/serving/tests/warmup_share_test.cpp
+++ b/serving/tests/warmup_share_test.cpp
@@ -14,6 +14,7 @@
 std::vector<time_point> sends_of_fleet(double rate, int hosts, duration length)
 {
     std::vector<warmup_share> shares;
+    shares.reserve(static_cast<std::size_t>(hosts));
     for (int i = 0; i < hosts; ++i)
     {
         shares.emplace_back(std::to_string(i));
