Review, case 4: servers that return cold under their ids get the whole load

All servers of a service are down for 4.5 s and return cold within 0.3 s. The hosts learn of the first at once and of the others up to 360 ms later; till then they send the whole load to them (FAILBACK). A server crashes of it.

--- a/review/stand/rig.h
+++ b/review/stand/rig.h
@@ -4,6 +4,7 @@
 #ifndef REVIEW_STAND_RIG_H
 #define REVIEW_STAND_RIG_H
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -32,6 +33,7 @@
 #include <string>
 #include <string_view>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -646,7 +648,7 @@
     void stop() { listener_.stop(); }
     server_options const& options() const { return options_; }
 
-    std::string entry(bool draining = false) const
+    std::string entry(bool draining = false, int warmup_left_ms = 0) const
     {
         return "{\"Service\":\"" + options_.service + "\",\"Address\":\"" +
                options_.ip + ":" + std::to_string(options_.port) +
@@ -654,9 +656,15 @@
                "\",\"Version\":\"v1\",\"Slots\":" +
                std::to_string(options_.slots) + ",\"State\":\"" +
                (draining ? "draining" : "ready") +
-               "\",\"WarmupLeftMs\":0,\"Sequence\":1}";
+               "\",\"WarmupLeftMs\":" + std::to_string(warmup_left_ms) +
+               ",\"Sequence\":1,\"born\":" + std::to_string(born) + "}";
     }
 
+    /// Unix millisecond of the server's start.
+    std::int64_t born = 1796000000000;
+    /// Called with the id of each request that the server accepts as its own.
+    std::function<void(std::string const&)> on_arrival;
+
     /// Share of the answers that are followed by a second copy, which arrives
     /// where the next answer on the connection is due.
     std::atomic<double> late_copy{0};
@@ -713,6 +721,10 @@
         {
             return answer(id, 421, "", "", 0, 0);
         }
+        if (on_arrival)
+        {
+            on_arrival(id);
+        }
         std::unique_lock lock(mutex_);
         if (running_ >= options_.slots && waiting_ >= options_.queue)
         {
@@ -827,6 +839,8 @@
         pid_ = fork();
         if (pid_ == 0)
         {
+            // The process ends with the script, however that ends.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             int const out =
                 open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(out, 1);
