--- a/review/stand/rig.h
+++ b/review/stand/rig.h
@@ -463,6 +463,10 @@
         listener_.stop();
     }
 
+    /// If above 0, a watch that waits is cut (its connection is closed) after
+    /// at most so many milliseconds.
+    std::atomic<int> cut_after_ms{0};
+
 private:
     struct item
     {
@@ -511,9 +515,23 @@
                ",\"CurrentRev\":" + std::to_string(revision_) + "}";
     }
 
+    /// Empty: the watch was cut.
     std::string watch(std::unique_lock<std::mutex>& lock, std::uint64_t after,
                       long wait_ms)
     {
+        int const most = cut_after_ms;
+        long const cut =
+            most > 0 ? static_cast<long>(most * (0.5 + 0.5 * random_unit()))
+                     : wait_ms + 1;
+        if (cut < wait_ms)
+        {
+            if (!changed_.wait_for(lock, std::chrono::milliseconds(cut),
+                                   [&]
+                                   { return stopped_ || revision_ > after; }))
+            {
+                return {};
+            }
+        }
         changed_.wait_for(lock, std::chrono::milliseconds(wait_ms),
                           [&] { return stopped_ || revision_ > after; });
         std::string list;
@@ -555,7 +573,7 @@
                                             nullptr, 10),
                               std::atol(parameter(target, "WaitMs").c_str()));
                 }
-                if (stopped_)
+                if (stopped_ || body.empty())
                 {
                     return;
                 }
@@ -590,6 +608,11 @@
         std::lock_guard const lock(mutex_);
         entries_[id].sent_at = now_s();
     }
+    double sent_at(std::string const& id)
+    {
+        std::lock_guard const lock(mutex_);
+        return entries_[id].sent_at;
+    }
     void ran(std::string const& id, std::string const& server)
     {
         std::lock_guard const lock(mutex_);
