--- a/review/1/late_refusal.cc
+++ b/review/1/late_refusal.cc
@@ -8,8 +8,8 @@
 {
 
 constexpr int host_count = 15;
-constexpr int server_count = 9;
-constexpr int clients = 96;
+constexpr int server_count = 15;
+constexpr int clients = 160;
 constexpr double run_s = 90;
 /// Each spell of "garble" and the pause after it.
 constexpr double spell_s = 5.0;
@@ -181,7 +181,7 @@
         if (rig::with_trouble())
         {
             NOTE("garble begins");
-            for (std::size_t i = 0; i < servers.size(); i += 2)
+            for (std::size_t i = 1; i < servers.size(); i += 2)
             {
                 servers[i]->late_copy = copies;
             }
