Never send a request twice on one connection

Cause: a target that refused may get the same request again a moment later, on the connection that delivered the refusal. Both sends bear the client's request id, so a late copy of the refusal counted as the answer to the second send.

Ruled out: a copy that is taken for another request's answer; the id tells them apart and the connection is closed.

Change: a refusal names its connection, the engine keeps it with the request, the next send to that target excludes it. At the connection limit the excluded connection makes room.

--- a/eventloop/include/eventloop/upstream_pool.hpp
+++ b/eventloop/include/eventloop/upstream_pool.hpp
@@ -57,9 +57,10 @@
     /// Called exactly once for each attempt. `answer` is the response if the
     /// outcome is `answered`, else null. `cause` describes the other outcomes
     /// and is empty if the client itself cancelled the send before any byte
-    /// was sent.
+    /// was sent. `connection` is the one that delivered the response, else 0.
     virtual void on_end(serving::attempt_handle attempt, send_outcome outcome,
-                        http_message* answer, char const* cause) = 0;
+                        http_message* answer, char const* cause,
+                        serving::connection_id connection) = 0;
 
     /// Called when an idle connection was closed by the target or a connection
     /// could not be established; then not again for this target until a
@@ -86,8 +87,9 @@
                   upstream_client& client);
     ~upstream_pool();
 
-    /// Sends a request on an idle connection, or on a new one if the order's
-    /// connection limit allows; otherwise queues it. If the queue is full, the
+    /// Sends a request on an idle connection that the order does not exclude,
+    /// or on a new one if the order's connection limit allows; otherwise queues
+    /// it. If the queue is full, the
     /// attempt ends as not_sent. With `no_body` the response has no body
     /// (HEAD).
     void start(serving::attempt_order const& order, bool no_body);
@@ -135,7 +137,9 @@
     void handle_connection_lost(std::string const& target_id);
     void handle_connected(std::string const& target_id);
     void finish(serving::attempt_handle attempt, send_outcome outcome,
-                http_message* answer, char const* cause);
+                char const* cause);
+    void finish_answered(serving::attempt_handle attempt, http_message& answer,
+                         serving::connection_id connection);
     void post_not_sent(serving::attempt_handle attempt, char const* cause);
     void remove_connection(upstream_connection* connection);
     /// Whether responses in progress take too much memory and this connection
--- a/eventloop/src/details/upstream_connection.cpp
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -29,9 +29,11 @@
 } // namespace
 
 upstream_connection::upstream_connection(upstream_pool& pool,
-                                         std::string target_id)
+                                         std::string target_id,
+                                         serving::connection_id id)
     : pool_(pool)
     , target_id_(std::move(target_id))
+    , id_(id)
     , socket_(pool.loop_)
     , reader_(message_reader::kind::response, max_response_header_bytes,
               max_response_body_bytes)
@@ -94,7 +96,7 @@
     close();
     if (had_send)
     {
-        pool_.finish(attempt, send_outcome::unconnected, nullptr, cause);
+        pool_.finish(attempt, send_outcome::unconnected, cause);
     }
 }
 
@@ -262,7 +264,6 @@
         pool_.finish(attempt,
                      response_started_ ? send_outcome::invalid_response
                                        : send_outcome::broken,
-                     nullptr,
                      cause != nullptr ? cause
                      : malformed      ? "malformed response"
                      : orderly
@@ -280,11 +281,11 @@
     update_idle_limit(answer);
     if (matches)
     {
-        pool_.finish(attempt, send_outcome::answered, &answer, "");
+        pool_.finish_answered(attempt, answer, id_);
     }
     else
     {
-        pool_.finish(attempt, send_outcome::invalid_response, nullptr,
+        pool_.finish(attempt, send_outcome::invalid_response,
                      "response to another request");
     }
     if (state_ == state::closed)
--- a/eventloop/src/details/upstream_connection.hpp
+++ b/eventloop/src/details/upstream_connection.hpp
@@ -26,7 +26,8 @@
         closed,
     };
 
-    upstream_connection(upstream_pool& pool, std::string target_id);
+    upstream_connection(upstream_pool& pool, std::string target_id,
+                        serving::connection_id id);
 
     /// Starts connecting. `order`, if set, is sent once the connection is
     /// established.
@@ -50,6 +51,7 @@
     time_point idle_until() const { return state_since_ + idle_limit_; }
     duration idle_limit() const { return idle_limit_; }
     std::string const& target_id() const { return target_id_; }
+    serving::connection_id id() const { return id_; }
 
 private:
     void on_connected(asio::error_code const& failed);
@@ -68,6 +70,7 @@
 
     upstream_pool& pool_;
     std::string target_id_;
+    serving::connection_id id_;
     asio::ip::tcp::socket socket_;
     message_reader reader_;
     upstream_pool::pending_send current_send_;
--- a/eventloop/src/upstream_pool.cpp
+++ b/eventloop/src/upstream_pool.cpp
@@ -102,17 +102,20 @@
     {
         pending_send& first = pool.waiting.front();
         std::shared_ptr<upstream_connection> idle;
-        std::shared_ptr<upstream_connection> stale;
+        std::shared_ptr<upstream_connection> unusable;
         for (auto const& c : pool.connections)
         {
             if (c->current_state() != state::idle || now >= c->idle_until())
             {
                 continue;
             }
-            bool const fresh =
-                first.order.repeatable ||
-                now - c->state_since() < c->idle_limit() / fresh_idle_divisor;
-            auto& best = fresh ? idle : stale;
+            auto const& excluded = first.order.excluded_connections;
+            bool const usable = (first.order.repeatable ||
+                                 now - c->state_since() <
+                                     c->idle_limit() / fresh_idle_divisor) &&
+                                std::find(excluded.begin(), excluded.end(),
+                                          c->id()) == excluded.end();
+            auto& best = usable ? idle : unusable;
             if (!best || c->state_since() > best->state_since())
             {
                 best = c;
@@ -128,9 +131,9 @@
         }
         auto const limit =
             static_cast<std::size_t>(first.order.connection_limit);
-        if (pool.connections.size() >= limit && stale)
+        if (pool.connections.size() >= limit && unusable)
         {
-            stale->close();
+            unusable->close();
         }
         if (pool.connections.size() >= limit)
         {
@@ -144,10 +147,9 @@
 
 void upstream_pool::open(target_pool& pool, pending_send order)
 {
-    auto connection =
-        std::make_shared<upstream_connection>(*this, pool.to->record.id);
+    auto connection = std::make_shared<upstream_connection>(
+        *this, pool.to->record.id, ++opened_);
     pool.connections.push_back(connection);
-    ++opened_;
     auto const address = parse_endpoint(pool.to->record.address);
     if (order.order.to)
     {
@@ -259,7 +261,7 @@
                [this, attempt]
                {
                    client_.on_end(attempt, send_outcome::broken, nullptr,
-                                  "attempt abandoned");
+                                  "attempt abandoned", 0);
                });
 }
 
@@ -292,12 +294,22 @@
 }
 
 void upstream_pool::finish(serving::attempt_handle attempt,
-                           send_outcome outcome, http_message* answer,
-                           char const* cause)
+                           send_outcome outcome, char const* cause)
 {
     if (connection_by_attempt_.erase(attempt) > 0)
     {
-        client_.on_end(attempt, outcome, answer, cause);
+        client_.on_end(attempt, outcome, nullptr, cause, 0);
+    }
+}
+
+void upstream_pool::finish_answered(serving::attempt_handle attempt,
+                                    http_message& answer,
+                                    serving::connection_id connection)
+{
+    if (connection_by_attempt_.erase(attempt) > 0)
+    {
+        client_.on_end(attempt, send_outcome::answered, &answer, "",
+                       connection);
     }
 }
 
@@ -305,9 +317,11 @@
                                   char const* cause)
 {
     connection_by_attempt_.erase(attempt);
-    asio::post(
-        loop_, [this, attempt, cause]
-        { client_.on_end(attempt, send_outcome::not_sent, nullptr, cause); });
+    asio::post(loop_,
+               [this, attempt, cause] {
+                   client_.on_end(attempt, send_outcome::not_sent, nullptr,
+                                  cause, 0);
+               });
 }
 
 bool upstream_pool::exceeds_memory(std::size_t buffered_by_connection) const
--- a/eventloop/tests/upstream_pool_test.cpp
+++ b/eventloop/tests/upstream_pool_test.cpp
@@ -23,6 +23,7 @@
     send_outcome outcome;
     std::string body;
     std::string cause;
+    serving::connection_id connection;
 };
 
 struct fixture : upstream_client
@@ -50,22 +51,25 @@
         return id.empty() || id == std::to_string(attempt);
     }
     void on_end(serving::attempt_handle attempt, send_outcome outcome,
-                http_message* answer, char const* cause) override
+                http_message* answer, char const* cause,
+                serving::connection_id connection) override
     {
         CHECK_FALSE(ends.contains(attempt));
-        ends[attempt] = {outcome, answer != nullptr ? answer->body : "", cause};
+        ends[attempt] = {outcome, answer != nullptr ? answer->body : "", cause,
+                         connection};
     }
     void on_connection_lost(serving::target const&) override { ++losses; }
 
     void start(serving::attempt_handle attempt, bool repeatable = true,
-               int limit = 4)
+               int limit = 4, std::vector<serving::connection_id> excluded = {})
     {
         pool.start({.attempt = attempt,
                     .request = attempt,
                     .to = to,
                     .connection_limit = limit,
                     .deadline = time.now() + 1s,
-                    .repeatable = repeatable},
+                    .repeatable = repeatable,
+                    .excluded_connections = std::move(excluded)},
                    false);
     }
 
@@ -319,6 +323,46 @@
     CHECK(f.pool.stats().open == 0);
 }
 
+// Guards against a second send of a request on the connection that delivered
+// the refusal of the first: a late copy of it could not be told from the
+// answer.
+TEST_CASE("an attempt is not sent on a connection that it excludes")
+{
+    fixture f;
+    auto target = start_and_accept(f, 1);
+    target.send(ok("a"));
+    REQUIRE(f.outcome(1) == send_outcome::answered);
+    auto const used = f.ends.at(1).connection;
+    REQUIRE(used != 0);
+    SECTION("another one is opened and both stay in use")
+    {
+        f.start(2, true, 4, {used});
+        auto other = f.accept();
+        REQUIRE(other);
+        other->receive_until(f.loop, "GET /2");
+        other->send(ok("b"));
+        CHECK(f.outcome(2) == send_outcome::answered);
+        CHECK(f.ends.at(2).connection != used);
+        CHECK(f.pool.stats().idle == 2);
+    }
+    SECTION("it makes room for another one at the connection limit")
+    {
+        f.start(2, true, 1, {used});
+        auto other = f.accept();
+        REQUIRE(other);
+        other->receive_until(f.loop, "GET /2");
+        other->send(ok("b"));
+        CHECK(f.outcome(2) == send_outcome::answered);
+        CHECK(f.pool.stats().open == 1);
+    }
+    SECTION("attempts that do not exclude it still use it")
+    {
+        f.start(2);
+        target.receive_until(f.loop, "GET /2");
+        CHECK(f.pool.stats().opened == 1);
+    }
+}
+
 TEST_CASE("an attempt without a complete response may have been executed")
 {
     fixture f;
--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -68,7 +68,8 @@
                          eventloop::http_message const& answer) override;
     void on_end(serving::attempt_handle attempt,
                 eventloop::send_outcome outcome,
-                eventloop::http_message* answer, char const* cause) override;
+                eventloop::http_message* answer, char const* cause,
+                serving::connection_id connection) override;
 
     // engine_port: calls from the engine.
     void start_attempt(serving::attempt_order const& order) override;
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -211,7 +211,8 @@
 
 void front_service::on_end(serving::attempt_handle attempt,
                            eventloop::send_outcome outcome,
-                           http_message* answer, char const* cause)
+                           http_message* answer, char const* cause,
+                           serving::connection_id connection)
 {
     auto const send = sends_.find(attempt);
     if (send == sends_.end())
@@ -222,6 +223,7 @@
     counters_.send_latency.add(now - send->second.sent_at);
     sends_.erase(send);
     serving::target_reply reply = parse_reply(outcome, answer, cause);
+    reply.connection = connection;
     counters_.sends_broken += reply.kind == serving::reply_kind::broken ? 1 : 0;
     counters_.sends_refused +=
         reply.kind == serving::reply_kind::not_executed ? 1 : 0;
--- a/serving/include/serving/engine_port.hpp
+++ b/serving/include/serving/engine_port.hpp
@@ -5,6 +5,7 @@
 #include <base/time.hpp>
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 namespace kumquatramp::serving
 {
@@ -16,6 +17,8 @@
 
 using request_handle = std::uint64_t;
 using attempt_handle = std::uint64_t;
+/// Identifies a connection to a target; never reused. 0: none.
+using connection_id = std::uint64_t;
 
 /// Instruction to send a client's request to a target.
 struct attempt_order
@@ -26,6 +29,10 @@
     int connection_limit = 0; ///< of this host to the target
     time_point deadline = never;
     bool repeatable = false; ///< the request is idempotent
+    /// Connections that have carried the request before. A late copy of a
+    /// response on one of them bears the id of this send too and would be taken
+    /// for its response.
+    std::vector<connection_id> excluded_connections{};
 };
 
 /// Implemented by the driver, which does the I/O. It calls back into the engine
--- a/serving/include/serving/target_reply.hpp
+++ b/serving/include/serving/target_reply.hpp
@@ -4,6 +4,7 @@
 
 #include <base/time.hpp>
 #include <optional>
+#include <serving/engine_port.hpp>
 #include <string>
 
 namespace kumquatramp::serving
@@ -35,6 +36,7 @@
     /// Of broken and not_sent: what happened. Empty with not_sent if this host
     /// decided against the send.
     char const* cause = "";
+    connection_id connection = 0; ///< that delivered the response; 0: none
 };
 
 } // namespace kumquatramp::serving
--- a/serving/src/details/engine_replies.cpp
+++ b/serving/src/details/engine_replies.cpp
@@ -112,6 +112,7 @@
     if (reply.kind == reply_kind::not_executed)
     {
         tried->state = try_state::refused;
+        tried->refused_on.push_back(reply.connection);
     }
     else if (reply.kind == reply_kind::not_sent)
     {
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -167,17 +167,13 @@
     {
         return false;
     }
-    auto const before =
-        std::find_if(s.tries.begin(), s.tries.end(),
-                     [&](target_try const& t) { return t.to == to; });
-    if (before == s.tries.end())
+    auto tried = std::find_if(s.tries.begin(), s.tries.end(),
+                              [&](target_try const& t) { return t.to == to; });
+    if (tried == s.tries.end())
     {
-        s.tries.push_back({to, try_state::sent});
-    }
-    else
-    {
-        before->state = try_state::sent;
+        tried = s.tries.insert(tried, {.to = to});
     }
+    tried->state = try_state::sent;
     ++s.sends;
     ++s.outstanding;
     ++r.outstanding;
@@ -201,7 +197,8 @@
                          .to = to,
                          .connection_limit = connection_limit(r, *to, now),
                          .deadline = r.deadline,
-                         .repeatable = r.matched_route->idempotent});
+                         .repeatable = r.matched_route->idempotent,
+                         .excluded_connections = tried->refused_on});
     return true;
 }
 
--- a/serving/src/details/running_request.hpp
+++ b/serving/src/details/running_request.hpp
@@ -28,6 +28,8 @@
 {
     std::shared_ptr<target> to{};
     try_state state = try_state::sent;
+    /// Those that delivered a refusal; later sends must not use them.
+    std::vector<connection_id> refused_on{};
 };
 
 /// One shard of a scatter-gather query, or the service of a plain request.
--- a/transport/include/transport/target_client.hpp
+++ b/transport/include/transport/target_client.hpp
@@ -77,7 +77,8 @@
     bool matches_request(handle attempt,
                          eventloop::http_message const& answer) override;
     void on_end(handle attempt, eventloop::send_outcome outcome,
-                eventloop::http_message* answer, char const* cause) override;
+                eventloop::http_message* answer, char const* cause,
+                serving::connection_id connection) override;
     void on_connection_lost(serving::target const& to) override;
 
     target_endpoint& endpoint_for(std::string const& address,
--- a/transport/src/target_client.cpp
+++ b/transport/src/target_client.cpp
@@ -258,7 +258,8 @@
 }
 
 void target_client::on_end(handle attempt, send_outcome outcome,
-                           http_message* /*answer*/, char const* /*cause*/)
+                           http_message* /*answer*/, char const* /*cause*/,
+                           serving::connection_id /*connection*/)
 {
     auto const found = pending_sends_.find(attempt);
     if (found == pending_sends_.end())
