Repeat a hung store call at once and keep watches short out of contact

Cause: a watch that is sent just before the store's return gets no answer. It was given up after 3.5 s and then followed by a pause of up to 1.25 s, which grew with the calls that the busy store had refused before.

Ruled out: the length of the watch alone (3.5 s is within the bound) and answers from before the outage that are trusted afterwards.

Change: the back-off runs from the start of the failed call, so a hung call is repeated at once; until the next answer watches wait 0.5 s. The reader of platform values in node/ had the same pause and is changed likewise.

--- a/node/src/details/platform_reader.cpp
+++ b/node/src/details/platform_reader.cpp
@@ -23,6 +23,7 @@
         if (!state.pending && state.due <= now)
         {
             state.pending = true;
+            state.started = now;
             out.push_back(read_platform{key, store_.stamp(key).version, wait_});
         }
     }
@@ -42,8 +43,10 @@
     auto& state = state_of(key);
     state.pending = false;
     auto const factor = 0.5 + random_.unit();
-    state.due = now + duration(static_cast<duration::rep>(
-                          static_cast<double>(retry_.count()) * factor));
+    state.due =
+        std::max(now, state.started +
+                          duration(static_cast<duration::rep>(
+                              static_cast<double>(retry_.count()) * factor)));
 }
 
 std::optional<time_point> platform_reader::oldest_answer() const
--- a/node/src/details/platform_reader.hpp
+++ b/node/src/details/platform_reader.hpp
@@ -17,7 +17,8 @@
 {
 public:
     /// `wait` is how long a read may wait for a newer value; `retry` is the
-    /// mean delay after a failed read. `random` must outlive the reader.
+    /// mean time from the start of a failed read to the next one. `random` must
+    /// outlive the reader.
     platform_reader(config_store const& store, duration wait, duration retry,
                     random_source& random);
 
@@ -27,7 +28,8 @@
     /// A read that was started at `asked` was answered.
     void on_answer(config_key key, time_point asked);
 
-    /// A read failed; the next one starts after a jittered delay.
+    /// A read failed; the next one starts after a jittered delay, at once if
+    /// the read has taken longer than that.
     void on_failure(config_key key, time_point now);
 
     /// Of the last good answer of each key, the earliest time at which one was
@@ -41,6 +43,7 @@
     struct key_state
     {
         bool pending = false;
+        time_point started{}; ///< of the latest read
         time_point due{};
         std::optional<time_point> answered;
     };
--- a/registry/include/registry/store_follower.hpp
+++ b/registry/include/registry/store_follower.hpp
@@ -85,6 +85,7 @@
     std::uint64_t revision_ = 0; ///< changes up to it have been received
     int failures_ = 0;           ///< consecutive failed calls
     std::uint64_t calls_ = 0;
+    time_point call_started_{}; ///< of the latest call
     time_point next_call_{};
     time_point last_contact_{};
 };
--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -10,22 +10,26 @@
 namespace
 {
 
-/// Back-off after the first failure, doubled with each consecutive one up to
-/// the maximum, with a jitter of +/-25 %. The maximum is well below the time
-/// limits for applying configurations and draining targets.
+/// Time from the start of a failed call to the next one: the initial value
+/// after the first failure, doubled with each consecutive one up to the
+/// maximum, with a jitter of +/-25 %. A call that got no answer has already
+/// taken longer and is repeated at once.
 constexpr duration initial_backoff = 150ms;
 constexpr duration max_backoff = 1s;
 
-/// Part of the contact bound for the call after one that got no answer: the
-/// first back-off, a new connection and the answer.
+/// Part of the contact bound for the call after one that got no answer: a new
+/// connection and the answer.
 constexpr duration recontact_time = 500ms;
 constexpr duration min_watch_wait = 500ms;
 
-duration watch_wait(duration contact_bound)
+/// While the store is out of contact, watches are short: one that is sent just
+/// before the store's return may get no answer and holds up the next one.
+duration watch_wait(duration contact_bound, bool in_contact)
 {
-    return std::max<duration>(contact_bound - store_port::response_margin -
-                                  recontact_time,
-                              min_watch_wait);
+    duration const longest =
+        contact_bound - store_port::response_margin - recontact_time;
+    return in_contact ? std::max<duration>(longest, min_watch_wait)
+                      : min_watch_wait;
 }
 
 } // namespace
@@ -48,11 +52,13 @@
         return;
     }
     call_in_progress_ = true;
+    call_started_ = now;
     next_call_ = never;
     ++calls_;
     if (!listing_)
     {
-        port_.watch(revision_, watch_wait(options_.contact_bound));
+        port_.watch(revision_,
+                    watch_wait(options_.contact_bound, in_contact()));
         return;
     }
     if (last_key_.empty())
@@ -142,10 +148,11 @@
     {
         log_.note("store.lost", "store", cause);
     }
-    duration const pause = std::min<duration>(
+    duration const backoff = std::min<duration>(
         initial_backoff * (1 << std::min(failures_ - 1, 6)), max_backoff);
-    next_call_ = now + std::chrono::duration_cast<duration>(
-                           pause * (0.75 + 0.5 * random_.unit()));
+    next_call_ = std::max(
+        now, call_started_ + std::chrono::duration_cast<duration>(
+                                 backoff * (0.75 + 0.5 * random_.unit())));
 }
 
 void store_follower::pause()
--- a/registry/tests/store_follower_test.cpp
+++ b/registry/tests/store_follower_test.cpp
@@ -176,6 +176,35 @@
     CHECK(follower.next_due() - last_contact < bound);
 }
 
+// Guards against a host that serves an old configuration after an outage: a
+// call that was sent just before the store's return gets no answer and must not
+// hold up the next one beyond the contact bound.
+TEST_CASE("a call that hangs as the store returns is repeated within the "
+          "contact bound")
+{
+    duration const bound = GENERATE(2s, 4s, 5s);
+    int const busy_answers = GENERATE(0, 1, 3, 8);
+    CAPTURE(busy_answers);
+    fixture f;
+    store_follower follower({.contact_bound = bound}, f.port, f.sink, f.random,
+                            f.log);
+    follower.tick(f.now);
+    follower.on_answer({{}, 10, false}, f.now);
+    for (int i = 0; i < busy_answers; ++i)
+    {
+        f.now = std::max(f.now, follower.next_due());
+        follower.tick(f.now);
+        f.now += 4ms;
+        follower.on_failure(store_failure::busy, "busy", f.now);
+    }
+    f.now = std::max(f.now, follower.next_due());
+    time_point const sent = f.now;
+    follower.tick(sent);
+    f.now += f.port.last_wait + store_port::response_margin;
+    follower.on_failure(store_failure::unavailable, "timed out", f.now);
+    CHECK(follower.next_due() - sent < bound);
+}
+
 TEST_CASE("a listing that fails midway resumes after its last key")
 {
     fixture f;
