Count the heads of responses towards the memory limit

Report of other operators: a faulty server sent bytes without end, its caller kept them all, ran out of memory and ended, with the requests of other clients.

Cause here: one response was bounded, the sum was not. Only bodies counted towards the 32 MB for all responses in progress, while a head holds up to 128 KB; and an idle connection kept the body of its last response, up to 16 MB for a refusal.

Ruled out: bytes of one response without a limit (11 forms, test "a response without end is cut off").

Change: a response counts with its head and its body; a reader that is reset frees both, and is reset as soon as its response has been passed on.

Evidence: eventloop_tests "the heads of all responses in progress are bounded in sum" failed before ("CHECK_FALSE( f.ends.empty() )": none of 400 heads was ended, final and interim); "a reader that was reset holds nothing of the last message".

--- a/eventloop/include/eventloop/message_reader.hpp
+++ b/eventloop/include/eventloop/message_reader.hpp
@@ -52,8 +52,9 @@
     /// becomes malformed, unless the message is already complete or failed.
     void finish();
 
-    /// Prepares for the next message. With `no_body` the message ends after
-    /// its headers, as a response to HEAD does.
+    /// Prepares for the next message and frees what the last one held. With
+    /// `no_body` the message ends after its headers, as a response to HEAD
+    /// does.
     void reset(bool no_body = false);
 
     void set_limits(std::size_t header_bytes, std::size_t body_bytes);
@@ -64,6 +65,14 @@
     bool failed() const { return state_ > progress::complete; }
     bool expects_continue() const { return expects_continue_; }
 
+    /// Memory that the present message holds: its body, its header lines and
+    /// their text.
+    std::size_t buffered_bytes() const
+    {
+        return head_size_ + message_.headers.size() * sizeof(header_line) +
+               message_.body.size();
+    }
+
     http_message& message() { return message_; }
 
 private:
--- a/eventloop/include/eventloop/upstream_pool.hpp
+++ b/eventloop/include/eventloop/upstream_pool.hpp
@@ -75,7 +75,7 @@
     std::uint64_t opened = 0; ///< connections opened since the start
     std::size_t open = 0;
     std::size_t idle = 0;
-    std::size_t buffered_bytes = 0; ///< bodies of responses in progress
+    std::size_t buffered_bytes = 0; ///< responses in progress
 };
 
 /// Maintains the connections to all targets and queues requests for them. Not
--- a/eventloop/src/details/upstream_connection.cpp
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -233,7 +233,7 @@
 bool upstream_connection::account(std::size_t received)
 {
     response_bytes_ += received;
-    std::size_t const kept = reader_.message().body.size();
+    std::size_t const kept = reader_.buffered_bytes();
     pool_.buffered_bytes_ += kept - buffered_bytes_;
     buffered_bytes_ = kept;
     return response_bytes_ <= max_response_bytes && !pool_.exceeds_memory(kept);
@@ -288,6 +288,7 @@
         pool_.finish(attempt, send_outcome::invalid_response,
                      "response to another request");
     }
+    reader_.reset();
     if (state_ == state::closed)
     {
         return;
--- a/eventloop/src/details/upstream_connection.hpp
+++ b/eventloop/src/details/upstream_connection.hpp
@@ -77,7 +77,7 @@
     bool has_current_send_ = false;
     bool response_started_ = false;  ///< bytes of the response have arrived
     std::size_t response_bytes_ = 0; ///< received of the response
-    std::size_t buffered_bytes_ = 0; ///< of them kept, as its body
+    std::size_t buffered_bytes_ = 0; ///< held by its head and body
     bool writing_ = false; ///< an async_write of the request is pending
     std::string unsent_;
     state state_ = state::connecting;
--- a/eventloop/src/message_reader.cpp
+++ b/eventloop/src/message_reader.cpp
@@ -52,6 +52,9 @@
 /// only the limits of message_reader take effect.
 constexpr std::uint32_t parser_max_header_bytes = 1U << 24U;
 
+/// Header lines whose storage is kept for the next message.
+constexpr std::size_t kept_header_lines = 32;
+
 } // namespace
 
 message_reader::message_reader(kind what, std::size_t header_bytes,
@@ -81,7 +84,12 @@
     message_.target.clear();
     message_.status = 0;
     message_.headers.clear();
+    if (message_.headers.capacity() > kept_header_lines)
+    {
+        message_.headers.shrink_to_fit();
+    }
     message_.body.clear();
+    message_.body.shrink_to_fit();
     message_.keep_alive = true;
     head_size_ = 0;
     in_value_ = false;
--- a/eventloop/src/upstream_pool.cpp
+++ b/eventloop/src/upstream_pool.cpp
@@ -17,8 +17,8 @@
 /// Limit on establishing a connection; a target in the same region takes a few
 /// milliseconds.
 constexpr duration connect_timeout = 500ms;
-/// Limit on the bodies of all responses in progress; a host may have little
-/// more than 100 MB of memory.
+/// Limit on the memory of all responses in progress, heads and bodies; a host
+/// may have little more than 100 MB.
 constexpr std::size_t max_buffered_bytes = 32U << 20U;
 /// Maximum length of the queue of one target, per allowed connection.
 constexpr std::size_t max_waiting_per_connection = 4;
--- a/eventloop/tests/message_reader_test.cpp
+++ b/eventloop/tests/message_reader_test.cpp
@@ -167,4 +167,23 @@
     CHECK_FALSE(is_hop_by_hop("X-Other", "close, x-mine"));
 }
 
+// Guards against idle connections that keep the memory of a large message.
+TEST_CASE("a reader that was reset holds nothing of the last message")
+{
+    message_reader reader(message_reader::kind::response, 65536, 1U << 20U);
+    std::string bytes = "HTTP/1.1 503 Service Unavailable\r\n";
+    for (int i = 0; i < 900; ++i)
+    {
+        bytes += "X-Line: 1\r\n";
+    }
+    bytes += "Content-Length: 1000000\r\n\r\n" + std::string(1000000, 'a');
+    reader.feed(bytes);
+    REQUIRE(reader.state() == message_reader::progress::complete);
+    CHECK(reader.buffered_bytes() > 1000000 + 900 * sizeof(header_line));
+    reader.reset();
+    CHECK(reader.buffered_bytes() == 0);
+    CHECK(reader.message().body.capacity() < 1000);
+    CHECK(reader.message().headers.capacity() < 100);
+}
+
 } // namespace kumquatramp::eventloop
--- a/eventloop/tests/upstream_pool_test.cpp
+++ b/eventloop/tests/upstream_pool_test.cpp
@@ -260,6 +260,51 @@
     CHECK_FALSE(f.ends.contains(endless + 1));
 }
 
+// Guards against a memory filled by heads: each may be within its own limit.
+TEST_CASE("the heads of all responses in progress are bounded in sum")
+{
+    fixture f;
+    constexpr serving::attempt_handle endless = 400;
+    std::vector<raw_socket> targets;
+    for (serving::attempt_handle i = 1; i <= endless; ++i)
+    {
+        f.start(i, true, endless);
+        targets.push_back(std::move(*f.accept()));
+    }
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    SECTION("in header lines")
+    {
+        for (int i = 0; i < 900; ++i)
+        {
+            head += "X-Line: " + std::string(60, 'a') + "\r\n";
+        }
+    }
+    SECTION("in interim responses")
+    {
+        std::string const line = "X-Line: " + std::string(60, 'a') + "\r\n";
+        head = "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 102 Processing\r\n";
+        for (int i = 0; i < 900; ++i)
+        {
+            head += line;
+        }
+    }
+    for (auto& t : targets)
+    {
+        std::string_view left = head;
+        // Ends early for a connection that the pool has closed.
+        for (int i = 0; i < 100 && !left.empty(); ++i)
+        {
+            left.remove_prefix(t.send_some(left));
+            f.loop.restart();
+            f.loop.poll();
+        }
+    }
+    f.run(5);
+    CHECK(f.pool.stats().buffered_bytes <= 33U << 20U);
+    CHECK_FALSE(f.ends.empty());
+    CHECK(f.ends.size() < endless);
+}
+
 TEST_CASE("a connection is reused")
 {
     fixture f;
