Free a request once it has been answered

Cause: the front service held the head and body of each request until its client left with the request open; an answer did not free them.

Ruled out: one kind of answer only (all ten ways failed the test), and the allocator (the count of held requests grew).

Evidence: host_tests "a request that has ended is not held" failed before in ten of thirteen sections (1 == 0 held).

--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -44,6 +44,10 @@
     eventloop::http_server& server() { return server_; }
     eventloop::upstream_pool& pool() { return pool_; }
     service_counters const& counters() const { return counters_; }
+    /// Number of requests whose head and body are held.
+    std::size_t held_requests() const { return exchanges_.size(); }
+    /// Number of attempts that have not ended.
+    std::size_t open_attempts() const { return sends_.size(); }
 
     /// Refuses all new requests from now on, because this host is about to
     /// exit.
@@ -78,6 +82,7 @@
                 serving::client_answer answer) override;
     void log_request(serving::request_handle request,
                      serving::request_summary const& summary) override;
+    void release_request(serving::request_handle request) override;
 
 private:
     struct exchange_state;
@@ -111,6 +116,7 @@
     asio::steady_timer timer_;
     time_point armed_for_ = never; // when timer_ expires, or never
     bool refusing_requests_ = false;
+    /// Requests that the engine has not released.
     std::unordered_map<serving::request_handle, std::unique_ptr<exchange_state>>
         exchanges_;
     std::unordered_map<serving::attempt_handle, send_state> sends_;
--- a/host/src/front_exchange.hpp
+++ b/host/src/front_exchange.hpp
@@ -14,7 +14,7 @@
     return method == "HEAD";
 }
 
-/// A client request, kept while attempts may still be sent.
+/// A client request, held until the engine releases it.
 struct front_service::exchange_state
 {
     std::string id; ///< from the request ID header
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -140,7 +140,6 @@
 {
     ++counters_.client_disconnects;
     engine_.client_gone(exchange, time_.now());
-    exchanges_.erase(exchange);
     arm_timer();
 }
 
@@ -276,4 +275,9 @@
     }
 }
 
+void front_service::release_request(serving::request_handle request)
+{
+    exchanges_.erase(request);
+}
+
 } // namespace kumquatramp::host
--- a/host/tests/front_fixture.cpp
+++ b/host/tests/front_fixture.cpp
@@ -46,6 +46,13 @@
     read.prefix = "/once/";
     read.idempotent = false;
     data.routes.push_back(read);
+    read.name = "query";
+    read.prefix = "/query/";
+    read.idempotent = true;
+    read.split.clear();
+    read.shards = {"orders"};
+    read.top_records = 10;
+    data.routes.push_back(read);
     data.services.push_back({"orders", "/healthz", max_connections, 0});
     return std::make_shared<serving::route_catalogue const>(std::move(data));
 }
--- a/host/tests/front_fixture.hpp
+++ b/host/tests/front_fixture.hpp
@@ -49,8 +49,8 @@
     asio::ip::tcp::acceptor acceptor_;
 };
 
-/// One plain service "orders" with the routes /read/ (idempotent) and /once/
-/// (not idempotent).
+/// One service "orders" with the plain routes /read/ (idempotent) and /once/
+/// (not idempotent) and the scatter-gather route /query/.
 class front_fixture
 {
 public:
--- a/host/tests/front_service_test.cpp
+++ b/host/tests/front_service_test.cpp
@@ -38,4 +38,124 @@
     CHECK(answer.substr(0, 12) == "HTTP/1.1 200");
 }
 
+// Guards against a host whose memory grows with every request that it has
+// answered, until it is killed.
+TEST_CASE("a request that has ended is not held")
+{
+    front_fixture f;
+    auto& target = f.add_target("t1");
+    auto client = f.connect_client();
+    auto const status = [&]
+    { return client.receive_until(f.loop, "\r\n\r\n").substr(9, 3); };
+    auto const await_target = [&](std::string_view text)
+    {
+        auto const at = f.await_request(target, text);
+        REQUIRE(at);
+        return *at;
+    };
+    SECTION("relayed")
+    {
+        client.send(request("POST", "/once/x", "id-1", "order"));
+        target.connections[await_target("order")].send(served("id-1"));
+        CHECK(status() == "200");
+    }
+    SECTION("a target's error relayed")
+    {
+        client.send(request("POST", "/once/x", "id-1", "order"));
+        target.connections[await_target("order")].send(
+            "HTTP/1.1 500 Error\r\nX-Request: id-1\r\nX-Stamp: s\r\n"
+            "Content-Length: 0\r\n\r\n");
+        CHECK(status() == "500");
+    }
+    SECTION("merged")
+    {
+        client.send(request("GET", "/query/x", "id-1"));
+        target.connections[await_target("/query/")].send(
+            served("id-1", std::string(16, 'r')));
+        CHECK(status() == "200");
+    }
+    SECTION("refused by the target")
+    {
+        client.send(request("POST", "/once/x", "id-1", "order"));
+        target.connections[await_target("order")].send(
+            "HTTP/1.1 421 Misdirected\r\nX-Request: id-1\r\n"
+            "Content-Length: 0\r\n\r\n");
+        CHECK(status() == "503");
+    }
+    SECTION("failed")
+    {
+        client.send(request("POST", "/once/x", "id-1", "order"));
+        target.connections[await_target("order")].close();
+        CHECK(status() == "502");
+    }
+    SECTION("unknown path")
+    {
+        client.send(request("GET", "/other/x", "id-1"));
+        CHECK(status() == "404");
+    }
+    SECTION("no target")
+    {
+        f.table.put({.id = "t1",
+                     .service = "orders",
+                     .address = target.address(),
+                     .zone = "zone-a",
+                     .draining = true},
+                    f.time.now());
+        client.send(request("GET", "/read/x", "id-1"));
+        CHECK(status() == "503");
+    }
+    SECTION("no configuration")
+    {
+        f.front.engine().withdraw_catalogue();
+        client.send(request("GET", "/read/x", "id-1"));
+        CHECK(status() == "503");
+    }
+    SECTION("too late in a planned stop")
+    {
+        f.front.end_by(f.time.now() + 1ms);
+        client.send(request("GET", "/read/x", "id-1"));
+        CHECK(status() == "503");
+    }
+    SECTION("cut short by a planned stop")
+    {
+        client.send(request("POST", "/once/x", "id-1", "order"));
+        auto const at = await_target("order");
+        f.front.end_by(f.time.now() + 10ms);
+        CHECK(status() == "504");
+        target.connections[at].close();
+    }
+    SECTION("the client leaves before the answer")
+    {
+        client.send(request("GET", "/read/x", "id-1"));
+        await_target("/read/");
+        client.close();
+    }
+    SECTION("the client of a request that may run once leaves")
+    {
+        client.send(request("POST", "/once/x", "id-1", "order"));
+        auto const at = await_target("order");
+        client.close();
+        f.run(20);
+        CHECK(f.front.held_requests() == 0);
+        target.connections[at].send(served("id-1"));
+    }
+    SECTION("the client leaves during the answer")
+    {
+        client.send(request("POST", "/once/x", "id-1", "order"));
+        auto const at = await_target("order");
+        std::string const answer = served("id-1", std::string(8'000'000, 'a'));
+        for (std::string_view left = answer; !left.empty(); f.run(1))
+        {
+            left.remove_prefix(target.connections[at].send_some(left));
+        }
+        f.run(20);
+        CHECK(f.front.server().unfinished_responses() == 1);
+        client.reset();
+    }
+    f.run(50);
+    CHECK(f.front.held_requests() == 0);
+    CHECK(f.front.open_attempts() == 0);
+    CHECK(f.front.engine().in_progress() == 0);
+}
+
 } // namespace kumquatramp::host
--- a/serving/include/serving/engine_port.hpp
+++ b/serving/include/serving/engine_port.hpp
@@ -58,6 +58,10 @@
     /// Logs the summary of a request that has ended.
     virtual void log_request(request_handle request,
                              request_summary const& summary) = 0;
+
+    /// Called once for each request after all other calls for it: it has been
+    /// answered or its client has left, and no attempt of it will be sent.
+    virtual void release_request(request_handle request) = 0;
 };
 
 } // namespace kumquatramp::serving
--- a/serving/src/details/engine_admission.cpp
+++ b/serving/src/details/engine_admission.cpp
@@ -52,6 +52,17 @@
     summary.version_age = now - confirmed_at_;
     refuse(request, request_type::unrouted, error);
     port_.log_request(request, summary);
+    port_.release_request(request);
+}
+
+void request_engine::details::refuse_unsent(running_request const& r,
+                                            error_kind error, time_point now,
+                                            duration min_retry_after)
+{
+    refuse(r.handle, r.type(), error, min_retry_after);
+    port_.log_request(r.handle, summarize(r, summary_kind::failed,
+                                          answer_of(error).code, now));
+    port_.release_request(r.handle);
 }
 
 void request_engine::details::submit(client_request const& request,
@@ -150,10 +161,7 @@
         now + statistics(matched_route).latency.overdue_after() > end_at_)
     {
         // Another host has the time to serve it.
-        refuse(r.handle, r.type(), error_kind::leaving);
-        port_.log_request(r.handle,
-                          summarize(r, summary_kind::failed,
-                                    answer_of(error_kind::leaving).code, now));
+        refuse_unsent(r, error_kind::leaving, now);
         return;
     }
     for (auto const& s : r.shards)
@@ -163,11 +171,10 @@
     if (duration const wait = coverage_wait(r, now); wait > duration::zero())
     {
         // Sends to the shards that have room would be wasted.
-        auto const error = wait == duration::max() ? error_kind::no_target
-                                                   : error_kind::overloaded;
-        refuse(r.handle, r.type(), error, retry_after(wait));
-        port_.log_request(r.handle, summarize(r, summary_kind::failed,
-                                              answer_of(error).code, now));
+        refuse_unsent(r,
+                      wait == duration::max() ? error_kind::no_target
+                                              : error_kind::overloaded,
+                      now, retry_after(wait));
         return;
     }
     auto& running = requests_.emplace(r.handle, std::move(r)).first->second;
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -46,8 +46,13 @@
     /// `min_retry_after` is the least time after which a return is useful.
     void refuse(request_handle request, request_type type, error_kind error,
                 duration min_retry_after = duration::zero());
+    /// Ends a request for which no route was looked up or found.
     void refuse_unadmitted(request_handle request, error_kind error,
                            time_point now);
+    /// Ends a request of which nothing was sent.
+    void refuse_unsent(running_request const& r, error_kind error,
+                       time_point now,
+                       duration min_retry_after = duration::zero());
     void admit(client_request const& request, route const& matched_route,
                time_point now);
     std::string const& choose_service(route const& matched_route);
@@ -118,7 +123,7 @@
     void defer_or_lose(running_request& r, shard_progress& s, time_point now);
     void answer_merged(running_request& r, time_point now);
     void fail(running_request& r, error_kind error, time_point now);
-    /// Marks the request as finished and logs its summary.
+    /// Marks the request as finished, logs its summary and releases it.
     void finish(running_request& r, bool failed, std::string_view outcome,
                 time_point now);
     /// Erases a finished request once all of its attempts have ended.
--- a/serving/src/details/engine_summaries.cpp
+++ b/serving/src/details/engine_summaries.cpp
@@ -68,8 +68,9 @@
     }
     for (auto& s : r.shards)
     {
-        s.part.clear();
+        s.part = {};
     }
+    port_.release_request(r.handle);
 }
 
 request_summary request_engine::details::summarize(running_request const& r,
--- a/serving/tests/engine_fixture.cpp
+++ b/serving/tests/engine_fixture.cpp
@@ -166,6 +166,7 @@
 
 void engine_fixture::start_attempt(attempt_order const& order)
 {
+    REQUIRE_FALSE(released.contains(order.request));
     open_[order.attempt] = order;
     sent.push_back(order.to->record.id);
 }
@@ -179,13 +180,21 @@
 {
     INFO("request " << request << " has one answer");
     REQUIRE_FALSE(answers.contains(request));
+    REQUIRE_FALSE(released.contains(request));
     answers.emplace(request, std::move(answer));
 }
 
 void engine_fixture::log_request(request_handle request,
                                  request_summary const& summary)
 {
+    REQUIRE_FALSE(released.contains(request));
     summaries[request] = summary;
 }
 
+void engine_fixture::release_request(request_handle request)
+{
+    INFO("request " << request << " is released once");
+    REQUIRE(released.insert(request).second);
+}
+
 } // namespace kumquatramp::serving::testing
--- a/serving/tests/engine_fixture.hpp
+++ b/serving/tests/engine_fixture.hpp
@@ -16,6 +16,7 @@
 #include <serving/target_reply.hpp>
 #include <serving/target_table.hpp>
 #include <serving/warmup_share.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,7 @@
     void answer(request_handle request, client_answer answer) override;
     void log_request(request_handle request,
                      request_summary const& summary) override;
+    void release_request(request_handle request) override;
 
     time_point now = time_point(1h);
     seeded_random random;
@@ -94,6 +96,7 @@
 
     std::map<request_handle, client_answer> answers;
     std::map<request_handle, request_summary> summaries;
+    std::set<request_handle> released;
     std::vector<std::string> sent; ///< targets in the order of sends
     std::vector<attempt_handle> abandoned;
 
