Count a target that could not be reached as cold

Cause: a target's process accepts connections before the registry has told every host of its restart. Until then a host took it for the warm one whose entry it had, and gave it the load that the cold share of the first returned target withheld.

Ruled out as the whole cause: the interval at which changes are batched; without it a process can still be reached before its entry is known.

Change: a target to which no connection could be established counts as warming up for 2 s after each try and for 1 s after the first connection.

--- a/eventloop/include/eventloop/upstream_pool.hpp
+++ b/eventloop/include/eventloop/upstream_pool.hpp
@@ -67,6 +67,11 @@
     /// connection has been established or sweep() has dropped the target's
     /// empty entry.
     virtual void on_connection_lost(serving::target const& /*to*/) {}
+
+    /// Called for each connection that was established, before anything is
+    /// sent on it, and for each that could not be.
+    virtual void on_connected(serving::target const& /*to*/) {}
+    virtual void on_connect_failed(serving::target const& /*to*/) {}
 };
 
 /// Number of connections of an upstream_pool, over all targets.
@@ -136,6 +141,7 @@
     void open(target_pool& pool, pending_send order);
     void handle_connection_lost(std::string const& target_id);
     void handle_connected(std::string const& target_id);
+    void handle_connect_failed(std::string const& target_id);
     void finish(serving::attempt_handle attempt, send_outcome outcome,
                 char const* cause);
     void finish_answered(serving::attempt_handle attempt, http_message& answer,
--- a/eventloop/src/details/upstream_connection.cpp
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -92,7 +92,7 @@
     auto const self = shared_from_this();
     bool const had_send = has_current_send_;
     auto const attempt = had_send ? release_attempt() : 0;
-    pool_.handle_connection_lost(target_id_);
+    pool_.handle_connect_failed(target_id_);
     close();
     if (had_send)
     {
--- a/eventloop/src/upstream_pool.cpp
+++ b/eventloop/src/upstream_pool.cpp
@@ -211,7 +211,20 @@
     if (found != target_pools_.end())
     {
         found->second->loss_reported = false;
+        auto const to = found->second->to;
+        client_.on_connected(*to);
+    }
+}
+
+void upstream_pool::handle_connect_failed(std::string const& target_id)
+{
+    auto const found = target_pools_.find(target_id);
+    if (found != target_pools_.end())
+    {
+        auto const to = found->second->to;
+        client_.on_connect_failed(*to);
     }
+    handle_connection_lost(target_id);
 }
 
 bool upstream_pool::withdraw(serving::attempt_handle attempt)
--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -75,6 +75,9 @@
                 eventloop::http_message* answer, char const* cause,
                 serving::connection_id connection) override;
 
+    void on_connected(serving::target const& to) override;
+    void on_connect_failed(serving::target const& to) override;
+
     // engine_port: calls from the engine.
     void start_attempt(serving::attempt_order const& order) override;
     void abandon_attempt(serving::attempt_handle attempt) override;
@@ -109,6 +112,7 @@
     clock const& time_;
     wire_profile const& wire_;
     host_log& log_;
+    serving::target_table& targets_;
     service_counters counters_;
     eventloop::http_server server_;
     eventloop::upstream_pool pool_;
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -10,6 +10,7 @@
 #include <host/host_log.hpp>
 #include <serving/request_summary.hpp>
 #include <serving/target.hpp>
+#include <serving/target_table.hpp>
 
 namespace kumquatramp::host
 {
@@ -32,6 +33,7 @@
     : time_(time)
     , wire_(wire)
     , log_(log)
+    , targets_(targets)
     , server_(loop, time, *this)
     , pool_(loop, time, *this)
     , engine_(options, random, targets, fleet, warmup, *this)
@@ -234,6 +236,16 @@
     arm_timer();
 }
 
+void front_service::on_connected(serving::target const& to)
+{
+    targets_.mark_reachable(to, time_.now());
+}
+
+void front_service::on_connect_failed(serving::target const& to)
+{
+    targets_.mark_unreachable(to, time_.now());
+}
+
 void front_service::answer(serving::request_handle request,
                            serving::client_answer answer)
 {
--- a/serving/include/serving/target.hpp
+++ b/serving/include/serving/target.hpp
@@ -26,6 +26,10 @@
     time_point unlisted_since = never;
     time_point cold_until{};
 
+    /// No connection could be established at the last try. The next one may
+    /// lead to a restarted process, which is cold.
+    bool unreachable = false;
+
     /// Another instance answered at its address, whatever the registry lists.
     /// Reset after a hold time or by a new registry entry.
     bool misdirected = false;
--- a/serving/include/serving/target_table.hpp
+++ b/serving/include/serving/target_table.hpp
@@ -107,8 +107,12 @@
     void mark_shutting_down(target& t);
     /// Another instance answered at the target's address.
     void mark_misdirected(target& t, time_point now);
-    /// Treats the target as warming up for at least `left`.
-    void mark_cold(target& t, duration left, time_point now);
+    /// No connection to the target could be established. If its process
+    /// restarts, the registry tells of it a little later than it accepts
+    /// connections, so until then it counts as warming up.
+    void mark_unreachable(target const& t, time_point now);
+    /// A connection to the target has been established.
+    void mark_reachable(target const& t, time_point now);
 
     std::size_t size() const { return by_id_.size(); }
     /// The targets of a service. Invalidated by any change of the table.
--- a/serving/src/target_table.cpp
+++ b/serving/src/target_table.cpp
@@ -27,6 +27,12 @@
 /// this time if the registry still lists it. The time is long because every
 /// such attempt arrives at the wrong instance.
 constexpr duration misdirected_hold = 8s;
+/// A target to which no connection could be established counts as warming up
+/// for this long after each try.
+constexpr duration unreachable_hold = 2s;
+/// It does so from the first connection on until the registry must have told of
+/// a restart.
+constexpr duration restart_news_time = 1s;
 /// Number of consecutive failures up to which a target is not avoided.
 constexpr int tolerated_failures = 2;
 
@@ -348,9 +354,33 @@
     t.misdirected_since = now;
 }
 
-void target_table::mark_cold(target& t, duration left, time_point now)
+void target_table::mark_unreachable(target const& t, time_point now)
 {
-    t.cold_until = std::max(t.cold_until, now + left);
+    auto const found = by_id_.find(t.record.id);
+    if (found == by_id_.end() || found->second.get() != &t)
+    {
+        return;
+    }
+    target& known = *found->second;
+    if (!known.unreachable)
+    {
+        known.unreachable = true;
+        log_.note("target.unreachable", t.record.id, t.record.service);
+    }
+    known.cold_until = std::max(known.cold_until, now + unreachable_hold);
+}
+
+void target_table::mark_reachable(target const& t, time_point now)
+{
+    auto const found = by_id_.find(t.record.id);
+    if (found == by_id_.end() || found->second.get() != &t || !t.unreachable)
+    {
+        return;
+    }
+    target& known = *found->second;
+    known.unreachable = false;
+    known.cold_until = std::max(known.cold_until, now + restart_news_time);
+    log_.note("target.reachable", t.record.id, t.record.service);
 }
 
 std::span<std::shared_ptr<target> const>
