Take repeated sends to a refusing cold target from its share

Cause: a request that a cold target had refused was sent to it again without asking the cold share, so refused requests came on top of it.

Change: a repeated send takes from the share or is put off.

--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -74,6 +74,10 @@
     /// request and may be asked again, or null.
     std::shared_ptr<target> best_refused_target(shard_progress const& s,
                                                 time_point now) const;
+    /// best_refused_target() if its warm-up share allows a send.
+    std::shared_ptr<target> choose_refused(running_request const& r,
+                                           shard_progress const& s,
+                                           time_point now);
     /// Time until this host may send to the target by the limit that it states.
     duration rate_limit_wait(target const& t, time_point now) const;
     fleet_place place_for(target const& t, time_point now) const;
--- a/serving/src/details/engine_sends.cpp
+++ b/serving/src/details/engine_sends.cpp
@@ -83,6 +83,14 @@
     return best;
 }
 
+std::shared_ptr<target>
+request_engine::details::choose_refused(running_request const& r,
+                                        shard_progress const& s, time_point now)
+{
+    auto t = best_refused_target(s, now);
+    return t && spend_warmup_share(*t, r, now) ? t : nullptr;
+}
+
 bool request_engine::details::can_skip_shard(running_request const& r) const
 {
     return r.matched_route->scatters() && r.expected() > needed(r);
@@ -107,7 +115,7 @@
     if (s.targets_used() >= r.matched_route->max_attempts)
     {
         // No further target is allowed, but one that refused may have room now.
-        return for_hedge ? nullptr : best_refused_target(s, now);
+        return for_hedge ? nullptr : choose_refused(r, s, now);
     }
     std::vector<target const*> left_out;
     for (auto const& t : s.tries)
@@ -122,7 +130,7 @@
                      : table_.choose(s.service, usual, left_out, now);
         if (!t)
         {
-            return for_hedge ? nullptr : best_refused_target(s, now);
+            return for_hedge ? nullptr : choose_refused(r, s, now);
         }
         if (rate_limit_wait(*t, now) > duration::zero())
         {
--- a/serving/tests/returning_targets_test.cpp
+++ b/serving/tests/returning_targets_test.cpp
@@ -21,6 +21,8 @@
 /// The registry drops the entry of a silent target after this time.
 constexpr duration entry_lapse = 3600ms;
 constexpr duration warmup = 3s;
+/// Share of requests that a target refuses, being full.
+constexpr double refuse_share = 0.4;
 /// Latest time from a registry entry to a host's knowledge of it.
 constexpr duration news_time = 500ms;
 /// Bound of the platform on the requests to a cold target in a second.
@@ -220,6 +222,11 @@
         {
             p.cold_arrivals.push_back(now);
         }
+        if (random_.unit() < refuse_share)
+        {
+            h.reply(to.record.id, reply_kind::not_executed, 503);
+            return;
+        }
         h.reply_ok(to.record.id);
     }
 
