Read each request under the newest limits

Cause: a connection took the limits when it was accepted and after each answer, not when its next request began. The limit on header lines was taken at the accept only.

Ruled out: new limits that do not reach the server; new connections used them.

Change: the limits are taken with the first bytes of a request, which keeps them to its end.

Evidence: eventloop_tests "the next request on a connection is read under the newest limits" failed before for raised and for lowered limits, on used and unused connections (4 of 6 checks); passes now, on arm64.

--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -27,7 +27,6 @@
     , phase_start_(server.time_.now())
     , last_byte_time_(phase_start_)
 {
-    reader_.set_max_header_lines(server.limits_.header_lines);
 }
 
 void server_connection::start()
@@ -95,12 +94,24 @@
         {
             phase_start_ = last_byte_time_;
         }
-        bytes = bytes.subspan(reader_.feed(bytes));
+        bytes = bytes.subspan(feed(bytes));
     }
     pending_.append(bytes.data(), bytes.size());
     process();
 }
 
+std::size_t server_connection::feed(std::span<char const> bytes)
+{
+    if (reader_.state() == message_reader::progress::idle)
+    {
+        // A request that has begun keeps the limits that it began with.
+        reader_.set_limits(server_.limits_.header_bytes,
+                           server_.limits_.body_bytes);
+        reader_.set_max_header_lines(server_.limits_.header_lines);
+    }
+    return reader_.feed(bytes);
+}
+
 void server_connection::process()
 {
     if (processing_)
@@ -114,7 +125,7 @@
         using progress = message_reader::progress;
         if (reader_.state() < progress::complete && !pending_.empty())
         {
-            std::size_t const used = reader_.feed(pending_);
+            std::size_t const used = feed(pending_);
             pending_.erase(0, used);
         }
         if (reader_.failed())
@@ -160,8 +171,6 @@
     server_.exchanges_.erase(exchange_);
     exchange_ = 0;
     close_after_response_ = close_after_response_ || close;
-    reader_.set_limits(server_.limits_.header_bytes,
-                       server_.limits_.body_bytes);
     reader_.reset();
     continue_sent_ = false;
     phase_start_ = server_.time_.now();
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -39,6 +39,9 @@
     void wait_readable();
     void on_readable();
     void on_bytes(std::span<char const> bytes);
+    /// Passes bytes to the reader; a new request is read under the server's
+    /// present limits. Returns the number of bytes consumed.
+    std::size_t feed(std::span<char const> bytes);
     void process();
     bool is_overdue(time_point now, serving::edge_limits const& limits) const;
     void write(std::string bytes);
--- a/eventloop/tests/http_server_test.cpp
+++ b/eventloop/tests/http_server_test.cpp
@@ -105,6 +105,60 @@
     CHECK_FALSE(c.peer_closed());
 }
 
+// Guards against connections that are idle while the limits change and then
+// refuse what the new ones allow, or take what they do not.
+TEST_CASE("the next request on a connection is read under the newest limits")
+{
+    fixture f;
+    auto c = f.client();
+    auto const post = [](std::size_t size)
+    {
+        return "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+               std::to_string(size) + "\r\n\r\n" + std::string(size, 'x');
+    };
+    serving::edge_limits limits;
+    bool const used_before = GENERATE(false, true);
+    CAPTURE(used_before);
+    if (used_before)
+    {
+        c.send(post(1));
+        c.receive_until(f.loop, "/1x");
+        c.clear();
+    }
+    else
+    {
+        f.run(5);
+    }
+    SECTION("raised")
+    {
+        limits.body_bytes = 200;
+        f.server.set_limits(limits);
+        c.send(post(150));
+        c.receive_until(f.loop, "/1xxx");
+        CHECK(f.rejected.empty());
+    }
+    SECTION("lowered")
+    {
+        limits.body_bytes = 50;
+        f.server.set_limits(limits);
+        c.send(post(80));
+        c.receive_until(f.loop, "400");
+        CHECK(f.rejected ==
+              std::vector<error_kind>{error_kind::body_too_large});
+    }
+    SECTION("lowered within a request, which keeps those it began with")
+    {
+        std::string const whole = post(80);
+        c.send(whole.substr(0, whole.size() - 70));
+        f.run(5);
+        limits.body_bytes = 50;
+        f.server.set_limits(limits);
+        c.send(whole.substr(whole.size() - 70));
+        c.receive_until(f.loop, "/1xxx");
+        CHECK(f.rejected.empty());
+    }
+}
+
 TEST_CASE("pipelined requests are answered in order")
 {
     fixture f;
