Limit what the gossip decoder allocates by the datagram's size

Cause: the library allocates lists by the length that a message declares, and its limits were left at 4 billion.

Change: the limits follow from the size of the datagram; nesting is limited to 8. The other decoders reserve nothing by a declared length (by reading).

--- a/host/src/gossip_codec.cpp
+++ b/host/src/gossip_codec.cpp
@@ -15,6 +15,9 @@
 {
 
 constexpr unsigned format_version = 1;
+/// Nesting of a message: itself, its lists and their entries, and what later
+/// versions may add.
+constexpr std::size_t max_depth = 8;
 constexpr unsigned ready_flag = 1;
 constexpr unsigned leaving_flag = 2;
 constexpr unsigned busy_flag = 4;
@@ -40,6 +43,14 @@
             s.weight};
 }
 
+/// Lengths that the bytes of a message can hold, since an element takes a byte
+/// at least. msgpack allocates what a message declares before it reads it.
+msgpack::unpack_limit limits_for(std::string_view bytes)
+{
+    std::size_t const size = bytes.size();
+    return {size, size / 2, size, size, size, max_depth};
+}
+
 } // namespace
 
 std::string encode_message(fleet::fleet_message const& message)
@@ -65,7 +76,8 @@
     // msgpack reports malformed input by exceptions.
     try
     {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr,
+                                            nullptr, limits_for(bytes));
         auto [version, kind, sequence, subject, digest, packed_states,
               range_digests] = handle.get().as<packed_message>();
         if (version != format_version ||
