--- a/eventloop/include/eventloop/upstream_pool.hpp
+++ b/eventloop/include/eventloop/upstream_pool.hpp
@@ -69,8 +69,10 @@
     virtual void on_connection_lost(serving::target const& /*to*/) {}
 
     /// Called for each connection that was established, before anything is
-    /// sent on it, and for each that could not be.
+    /// sent on it.
     virtual void on_connected(serving::target const& /*to*/) {}
+
+    /// Called for each connection that could not be established.
     virtual void on_connect_failed(serving::target const& /*to*/) {}
 };
 
@@ -94,9 +96,8 @@
 
     /// Sends a request on an idle connection that the order does not exclude,
     /// or on a new one if the order's connection limit allows; otherwise queues
-    /// it. If the queue is full, the
-    /// attempt ends as not_sent. With `no_body` the response has no body
-    /// (HEAD).
+    /// it. If the queue is full, the attempt ends as not_sent. With `no_body`
+    /// the response has no body (HEAD).
     void start(serving::attempt_order const& order, bool no_body);
 
     /// Keeps at least `warm` connections to a target open, opened in advance,
@@ -142,6 +143,7 @@
     void handle_connection_lost(std::string const& target_id);
     void handle_connected(std::string const& target_id);
     void handle_connect_failed(std::string const& target_id);
+    /// Ends an attempt without a valid response.
     void finish(serving::attempt_handle attempt, send_outcome outcome,
                 char const* cause);
     void finish_answered(serving::attempt_handle attempt, http_message& answer,
--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -74,7 +74,6 @@
                 eventloop::send_outcome outcome,
                 eventloop::http_message* answer, char const* cause,
                 serving::connection_id connection) override;
-
     void on_connected(serving::target const& to) override;
     void on_connect_failed(serving::target const& to) override;
 
