review: a host misses large configurations after a cut (case 8)

One of three hosts is partitioned from the store for 5.5 s while 14 versions of 1 MB are acknowledged.

--- a/review/stand-2/rig.h
+++ b/review/stand-2/rig.h
@@ -13,6 +13,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <fcntl.h>
 #include <fstream>
 #include <functional>
@@ -549,15 +550,32 @@
     return {};
 }
 
-/// The platform's metadata store: listings in pages of 50, and watches.
+/// The platform's metadata store: listings in pages of 50 items, watches, and
+/// 20 s of history. It has one address for each host, each of which can be cut
+/// off.
 class store
 {
 public:
-    bool start(std::string const& ip)
+    ~store() { stop(); }
+
+    /// Opens one more address. Returns its port, 0 if there is none.
+    int open(std::string const& ip = "127.0.0.1")
     {
-        return listener_.start(ip, 0, [this](stream& s) { serve(s); });
+        doors_.push_back(std::make_unique<door>());
+        door& d = *doors_.back();
+        return d.at.start(ip, 0, [this, &d](stream& s) { serve(s, d); })
+                   ? d.at.port()
+                   : 0;
+    }
+
+    /// A silent cut: nothing that comes through the address is answered, and
+    /// the connections of that time end when the cut does.
+    void cut(std::size_t address, bool on)
+    {
+        std::lock_guard const lock(mutex_);
+        doors_[address]->cut = on;
+        changed_.notify_all();
     }
-    ~store() { stop(); }
 
     void stop()
     {
@@ -566,19 +584,19 @@
             stopping_ = true;
             changed_.notify_all();
         }
-        listener_.stop();
+        for (auto const& d : doors_)
+        {
+            d->at.stop();
+        }
     }
 
-    int port() const { return listener_.port(); }
-
     /// A return is the acknowledgement of the write.
     void put(std::string const& key, std::string const& value)
     {
         std::lock_guard const lock(mutex_);
         ++revision_;
         items_[key] = {value, revision_};
-        history_.push_back({key, value, false, revision_});
-        changed_.notify_all();
+        add({key, value, false, revision_, now()});
     }
 
     void remove(std::string const& key)
@@ -587,8 +605,7 @@
         if (items_.erase(key) > 0)
         {
             ++revision_;
-            history_.push_back({key, "", true, revision_});
-            changed_.notify_all();
+            add({key, "", true, revision_, now()});
         }
     }
 
@@ -604,8 +621,31 @@
         std::string value;
         bool deleted;
         std::uint64_t revision;
+        double at;
+    };
+    struct door
+    {
+        listener at;
+        bool cut = false;
     };
     static constexpr std::size_t page_items = 50;
+    static constexpr double history_s = 20;
+
+    void add(change c)
+    {
+        history_.push_back(std::move(c));
+        forget();
+        changed_.notify_all();
+    }
+
+    void forget()
+    {
+        while (!history_.empty() && now() - history_.front().at > history_s)
+        {
+            forgotten_ = history_.front().revision;
+            history_.pop_front();
+        }
+    }
 
     static std::string show(std::string const& key, std::string const& value,
                             std::uint64_t revision)
@@ -642,6 +682,7 @@
                ",\"CurrentRev\":" + std::to_string(revision_) + "}";
     }
 
+    /// An empty answer: the history is no longer there.
     std::string watch(std::string const& target)
     {
         std::unique_lock lock(mutex_);
@@ -651,6 +692,11 @@
             std::atoi(parameter(target, "WaitMs").c_str()));
         changed_.wait_for(lock, wait,
                           [&] { return stopping_ || revision_ > after; });
+        forget();
+        if (after < forgotten_)
+        {
+            return {};
+        }
         std::string events;
         for (auto const& c : history_)
         {
@@ -668,16 +714,31 @@
                "],\"CurrentRev\":" + std::to_string(revision_) + "}";
     }
 
-    void serve(stream& s)
+    /// Whether a cut was there; waits for its end.
+    bool held(door const& d)
+    {
+        std::unique_lock lock(mutex_);
+        if (!d.cut)
+        {
+            return false;
+        }
+        changed_.wait(lock, [&] { return stopping_ || !d.cut; });
+        return true;
+    }
+
+    void serve(stream& s, door const& d)
     {
         message m;
-        while (s.read(m, 60) == got::message)
+        while (!held(d) && s.read(m, 60) == got::message && !held(d))
         {
             std::string const target = m.word(1);
             std::string const body =
                 target.starts_with("/kv-watch") ? watch(target) : list(target);
-            if (!s.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                         "Content-Length: " +
+            std::string const head =
+                body.empty() ? "HTTP/1.1 410 Gone\r\n" : "HTTP/1.1 200 OK\r\n";
+            if (held(d) ||
+                !s.write(head +
+                         "Content-Type: application/json\r\nContent-Length: " +
                          std::to_string(body.size()) + "\r\n\r\n" + body))
             {
                 return;
@@ -685,13 +746,14 @@
         }
     }
 
-    listener listener_;
     std::mutex mutex_;
     std::condition_variable changed_;
     bool stopping_ = false;
     std::uint64_t revision_ = 1;
+    std::uint64_t forgotten_ = 0; ///< revision of the last change dropped
     std::map<std::string, item> items_;
-    std::vector<change> history_;
+    std::deque<change> history_;
+    std::vector<std::unique_ptr<door>> doors_;
 };
 
 /// What a server says to a request that it runs.
@@ -955,12 +1017,12 @@
 class fleet
 {
 public:
-    /// Returns whether all of them are ready within 10 s.
+    /// Gives each host its own address of the store. Returns whether all of
+    /// them are ready within 10 s.
     bool start(int count, char const* const* zones, std::string const& folder,
-               int store_port)
+               store& platform)
     {
         folder_ = folder;
-        store_ = "127.0.0.1:" + std::to_string(store_port);
         host::ports const ports{free_port(ip(0)), free_port(ip(0)),
                                 free_port(ip(0)), free_port(ip(0)),
                                 free_port(ip(0))};
@@ -971,6 +1033,7 @@
         }
         for (int i = 0; i < count; ++i)
         {
+            stores_.push_back("127.0.0.1:" + std::to_string(platform.open()));
             hosts_.push_back(std::make_unique<host>(
                 "front-" + std::to_string(i), ip(i), zones[i % 3], ports));
             if (!start(i))
@@ -989,7 +1052,11 @@
     }
 
     /// Starts the process of a host, also after its end.
-    bool start(int i) { return at(i).start(folder_, seeds_, store_); }
+    bool start(int i)
+    {
+        return at(i).start(folder_, seeds_,
+                           stores_[static_cast<std::size_t>(i)]);
+    }
 
     host& at(int i) { return *hosts_[static_cast<std::size_t>(i)]; }
 
@@ -998,7 +1065,7 @@
 
     std::string folder_;
     std::string seeds_;
-    std::string store_;
+    std::vector<std::string> stores_;
     std::vector<std::unique_ptr<host>> hosts_;
 };
 
