--- a/review/stand-2/rig.h
+++ b/review/stand-2/rig.h
@@ -491,13 +491,12 @@
             std::thread(
                 [this, fd]
                 {
-                    {
-                        stream s(fd);
-                        serve_(s);
-                        std::lock_guard const ending(mutex_);
-                        open_.erase(fd);
-                    }
-                    std::lock_guard const ended(mutex_);
+                    stream s(fd);
+                    serve_(s);
+                    // The last use of the listener: stop() goes on after it.
+                    std::lock_guard const ending(mutex_);
+                    s.close();
+                    open_.erase(fd);
                     all_ended_.notify_all();
                 })
                 .detach();
