review: large orders end all hosts while their servers are dark (case 6)

The 19 servers of one service are dark for 5.1 s. The orders for them, 160 a second and host and just under MaxBodyBytes, stay in the hosts' memory; all three hosts pass 182 MB in 3.7 s and the platform ends them. Orders of the other service, at sound servers, lose their answers: rule LOST.

--- a/review/stand-2/rig.h
+++ b/review/stand-2/rig.h
@@ -343,6 +343,14 @@
         return buffer_;
     }
 
+    /// Whether neither side has ended the connection.
+    bool peer_open() const
+    {
+        char byte = 0;
+        ssize_t const n = ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+    }
+
     void close()
     {
         if (fd_ >= 0)
@@ -445,6 +453,7 @@
         }
         port_ = ntohs(at.sin_port);
         stopping_ = false;
+        dark_ = false;
         serve_ = std::move(serve);
         thread_ = std::thread([this] { accept_all(); });
         return true;
@@ -453,6 +462,15 @@
     int port() const { return port_; }
     bool running() const { return fd_ >= 0; }
 
+    /// From now on nothing is accepted: one or two more connections are
+    /// established by the kernel, the opening packets of others are dropped.
+    void go_dark()
+    {
+        dark_ = true;
+        ::listen(fd_, 0);
+    }
+    bool dark() const { return dark_; }
+
     /// Ends the listening socket and all connections at once, as the end of a
     /// process does.
     void stop()
@@ -484,6 +502,10 @@
             {
                 continue;
             }
+            while (dark_ && !stopping_)
+            {
+                sleep_for(0.01);
+            }
             int const one = 1;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
             std::lock_guard const lock(mutex_);
@@ -506,6 +528,7 @@
     int fd_ = -1;
     int port_ = 0;
     std::atomic<bool> stopping_{false};
+    std::atomic<bool> dark_{false};
     handler serve_;
     std::thread thread_;
     std::mutex mutex_;
@@ -790,6 +813,8 @@
         return started;
     }
     void stop() { listener_.stop(); }
+    /// Falls silent: nothing is read, answered or accepted until stop().
+    void go_dark() { listener_.go_dark(); }
 
     std::string key() const { return "servers/" + id_; }
     std::string const& id() const { return id_; }
@@ -810,6 +835,14 @@
         message m;
         while (s.read(m, 60) == got::message)
         {
+            while (listener_.dark() && s.peer_open())
+            {
+                sleep_for(0.02);
+            }
+            if (listener_.dark())
+            {
+                return;
+            }
             std::string const request = m.header("X-Kumquatramp-Request-Id");
             std::string head;
             reply r;
