--- a/review/stand-2/rig.h
+++ b/review/stand-2/rig.h
@@ -26,6 +26,7 @@
 #include <sstream>
 #include <string>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -968,6 +969,8 @@
         pid_ = fork();
         if (pid_ == 0)
         {
+            // A host never outlives the script.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             int const out =
                 ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
             dup2(out, 1);
