Read on after a response that was long in being written

Seen by clients: a connection that sent a large request ahead of a response that it took late was never read again; the request got no answer until the idle timeout. Cause: reading stops while 64 KB of later requests are buffered; the end of the write consumed them without waiting for more.

eventloop_tests "a large request sent ahead of an unread response is answered": failed before, passes.

--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -215,6 +215,7 @@
             self->unsent_.clear();
             self->after_write();
             self->process();
+            self->wait_readable();
         });
 }
 
--- a/eventloop/tests/http_server_test.cpp
+++ b/eventloop/tests/http_server_test.cpp
@@ -170,6 +170,43 @@
     CHECK(all.find("/2") < all.find("/3"));
 }
 
+// Guards against a connection that is never read again: reading had stopped
+// while the first response was being written, since much had been sent ahead.
+TEST_CASE("a large request sent ahead of an unread response is answered")
+{
+    fixture f;
+    std::string const body(200'000, 'b');
+    serving::edge_limits limits;
+    limits.body_bytes = body.size();
+    f.server.set_limits(limits);
+    f.respond_immediately = false;
+    auto c = f.client();
+    std::string ahead = "GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\n"
+                        "Content-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body;
+    auto const send_ahead = [&]
+    {
+        ahead.erase(0, ahead.empty() ? 0 : c.send_some(ahead));
+        f.run(1);
+    };
+    for (int i = 0; i < 50; ++i)
+    {
+        send_ahead();
+    }
+    f.server.respond(f.open, ok(std::string(20'000'000, 'r')), false);
+    for (int i = 0; i < 50; ++i)
+    {
+        send_ahead();
+    }
+    f.respond_immediately = true;
+    for (int i = 0; i < 5000 && f.targets.size() < 2; ++i)
+    {
+        c.read_available();
+        send_ahead();
+    }
+    CHECK(f.targets == std::vector<std::string>{"/1", "/2"});
+}
+
 TEST_CASE("a client that disconnects before its response is reported once")
 {
     fixture f;
