Bound what the kernel and a connection hold of requests sent ahead

Cause: the kernel lets the receive buffer of a connection grow to megabytes while it is read fast, and they stay when reading stops; a connection itself kept up to 128 KB. Ruled out for this crowd: answers, of which a connection has one at a time.

--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Limit on buffered bytes of pipelined requests; reading stops at this size.
-constexpr std::size_t max_pending_bytes = 65536;
+constexpr std::size_t max_pending_bytes = 16384;
 /// How long a client may take to close its side after the last response.
 constexpr duration linger_timeout = 1s;
 
@@ -37,7 +37,9 @@
 
 void server_connection::wait_readable()
 {
-    if (read_wait_pending_ || closed_)
+    // Stops reading from a client that pipelines too far ahead of its
+    // responses.
+    if (read_wait_pending_ || closed_ || pending_.size() >= max_pending_bytes)
     {
         return;
     }
@@ -56,8 +58,12 @@
 void server_connection::on_readable()
 {
     auto& buffer = read_buffer();
+    std::size_t const room = reads_ahead()
+                                 ? max_pending_bytes - pending_.size()
+                                 : buffer.size();
     asio::error_code failed;
-    std::size_t const size = socket_.read_some(asio::buffer(buffer), failed);
+    std::size_t const size =
+        socket_.read_some(asio::buffer(buffer, room), failed);
     if (failed == asio::error::would_block)
     {
         wait_readable();
@@ -78,12 +84,12 @@
         last_byte_time_ = server_.time_.now();
         on_bytes({buffer.data(), size});
     }
-    // Stops reading from a client that pipelines too far ahead of its
-    // responses.
-    if (pending_.size() < max_pending_bytes)
-    {
-        wait_readable();
-    }
+    wait_readable();
+}
+
+bool server_connection::reads_ahead() const
+{
+    return !lingering_ && (exchange_ != 0 || writing_ || !pending_.empty());
 }
 
 void server_connection::on_bytes(std::span<char const> bytes)
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -39,6 +39,8 @@
     void wait_readable();
     void on_readable();
     void on_bytes(std::span<char const> bytes);
+    /// Whether bytes that arrive now belong to a later request.
+    bool reads_ahead() const;
     /// Passes bytes to the reader; a new request is read under the server's
     /// present limits. Returns the number of bytes consumed.
     std::size_t feed(std::span<char const> bytes);
--- a/eventloop/src/http_server.cpp
+++ b/eventloop/src/http_server.cpp
@@ -14,6 +14,10 @@
 /// while, and the pending connection would make accept fail again at once.
 constexpr duration accept_retry_pause = 50ms;
 
+/// Receive buffer of a connection. The kernel would let it grow to megabytes,
+/// which count as this process's memory while they are unread.
+constexpr int receive_buffer_bytes = 16384;
+
 } // namespace
 
 http_server::http_server(asio::io_context& loop, clock const& time,
@@ -32,6 +36,11 @@
 {
     acceptor_.open(at.protocol());
     acceptor_.set_option(asio::socket_base::reuse_address(true));
+    // Accepted sockets inherit it. Where it cannot be set, the kernel's default
+    // applies.
+    asio::error_code ignored;
+    acceptor_.set_option(
+        asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
     acceptor_.bind(at);
     acceptor_.listen();
     accept();
