Bound the memory of requests that are being received

Cause: each body was bounded, their sum was not, and a body that had stopped was kept for the idle timeout.

One ledger for the process counts connections, with what the kernel may hold for each, and requests being received, at their allocated size. A declared body is reserved when its head has been read, so that one that is let in can end; what finds no room is refused with 503 and Retry-After before it is read. Large bodies leave a quarter to small requests. While the ledger is nearly full, the requests that arrive slowest are refused, those first that hold the most for the longest. A body no longer grows to twice its limit. The memory of the machine comes from [host] memory_mb or the environment.

--- a/eventloop/include/eventloop/http_server.hpp
+++ b/eventloop/include/eventloop/http_server.hpp
@@ -16,6 +16,7 @@
 {
 
 struct http_message;
+struct process_budget;
 class server_connection;
 
 /// Identifies one request on one connection; never reused.
@@ -32,7 +33,7 @@
 
     /// Called with a complete request. It must be answered once with
     /// http_server::respond, immediately or later. The message may be moved
-    /// from.
+    /// from and is valid only during the call.
     virtual void on_request(exchange_id exchange, http_message& message) = 0;
 
     /// Called when the client closes its connection before the response.
@@ -50,8 +51,10 @@
 class http_server
 {
 public:
+    /// `budget` must outlive the server; without one nothing is limited but by
+    /// set_limits.
     http_server(asio::io_context& loop, clock const& time,
-                request_handler& handler);
+                request_handler& handler, process_budget* budget = nullptr);
     ~http_server();
 
     /// Listens on an address and returns the bound port. Throws
@@ -71,12 +74,16 @@
     void set_closing() { closing_ = true; }
     bool closing() const { return closing_; }
 
-    /// Enforces the time limits. Must be called a few times per second.
+    /// Enforces the time limits and, if memory is short, refuses requests whose
+    /// bodies arrive too slowly. Must be called a few times per second.
     void sweep();
 
     std::size_t connections() const { return connections_.size(); }
     /// Connections that could not be accepted, each followed by a short pause.
     std::uint64_t accept_failures() const { return accept_failures_; }
+    /// Requests refused before they were read completely because memory was
+    /// short.
+    std::uint64_t memory_refusals() const { return memory_refusals_; }
     /// Number of requests that have been read but not answered.
     std::size_t open_exchanges() const { return exchanges_.size(); }
     /// Number of requests that have been read but not answered, plus responses
@@ -90,13 +97,19 @@
     friend class server_connection;
     void accept();
     void add_connection(asio::ip::tcp::socket socket);
+    /// Refuses incomplete requests that make little progress, those first that
+    /// hold the most for the longest, until memory is not short any more.
+    void relieve_memory(time_point now);
 
     asio::io_context& loop_;
     clock const& time_;
     request_handler& handler_;
+    std::unique_ptr<process_budget> own_budget_; ///< if none was given
+    process_budget& budget_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer accept_timer_;
     std::uint64_t accept_failures_ = 0;
+    std::uint64_t memory_refusals_ = 0;
     serving::edge_limits limits_;
     bool closing_ = false;
     exchange_id last_exchange_ = 0;
--- a/eventloop/include/eventloop/message_reader.hpp
+++ b/eventloop/include/eventloop/message_reader.hpp
@@ -65,13 +65,11 @@
     bool failed() const { return state_ > progress::complete; }
     bool expects_continue() const { return expects_continue_; }
 
-    /// Memory that the present message holds: its body, its header lines and
-    /// their text.
-    std::size_t buffered_bytes() const
-    {
-        return head_size_ + message_.headers.size() * sizeof(header_line) +
-               message_.body.size();
-    }
+    /// Upper bound on the memory allocated for the present message: its body,
+    /// its header lines and their text.
+    std::size_t buffered_bytes() const;
+    /// The same with all of the body that the head declares.
+    std::size_t expected_bytes() const;
 
     http_message& message() { return message_; }
 
@@ -86,6 +84,11 @@
     static int on_end(http_parser* p);
     static http_parser_settings const& callbacks();
     bool count_head_bytes(std::size_t length);
+    std::size_t buffered_head_bytes() const;
+    std::size_t buffered_body_bytes() const;
+    /// Allocates what the body can use at most, so that growth by doubling does
+    /// not exceed its limit.
+    void reserve_body(std::size_t bytes);
 
     http_parser parser_{};
     kind kind_;
@@ -95,6 +98,7 @@
     progress state_ = progress::idle;
     http_message message_;
     std::size_t head_size_ = 0;
+    std::size_t declared_body_bytes_ = 0; ///< 0 if none is declared
     bool in_value_ = false;
     bool no_body_ = false;
     bool expects_continue_ = false;
--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -1,8 +1,10 @@
 // Reads requests one at a time and writes their responses.
 #include "details/server_connection.hpp"
 #include "details/read_buffer.hpp"
+#include <algorithm>
 #include <asio/write.hpp>
 #include <base/error_answer.hpp>
+#include <eventloop/process_budget.hpp>
 #include <eventloop/socket_options.hpp>
 
 namespace kumquatramp::eventloop
@@ -16,6 +18,19 @@
 /// How long a client may take to close its side after the last response.
 constexpr duration linger_timeout = 1s;
 
+/// Charged for each connection: its state, and what the kernel may hold for it
+/// unread.
+constexpr std::size_t connection_bytes = 26U << 10U;
+/// A request that holds more than this leaves memory to smaller ones.
+constexpr std::size_t small_request_bytes = 32U << 10U;
+
+/// While memory is short, a request is refused that has been arriving for the
+/// first time and has paused for the second one, or has been slower than this
+/// rate on the whole.
+constexpr duration min_slow_age = 1s;
+constexpr duration max_quiet_time = 1s;
+constexpr double min_bytes_per_s = 16384;
+
 } // namespace
 
 server_connection::server_connection(http_server& server,
@@ -24,9 +39,11 @@
     , socket_(std::move(socket))
     , reader_(message_reader::kind::request, server.limits_.header_bytes,
               server.limits_.body_bytes)
+    , charge_(server.budget_.memory)
     , phase_start_(server.time_.now())
     , last_byte_time_(phase_start_)
 {
+    charge_.try_resize(connection_bytes, memory_use::small);
 }
 
 void server_connection::start()
@@ -58,9 +75,8 @@
 void server_connection::on_readable()
 {
     auto& buffer = read_buffer();
-    std::size_t const room = reads_ahead()
-                                 ? max_pending_bytes - pending_.size()
-                                 : buffer.size();
+    std::size_t const room =
+        reads_ahead() ? max_pending_bytes - pending_.size() : buffer.size();
     asio::error_code failed;
     std::size_t const size =
         socket_.read_some(asio::buffer(buffer, room), failed);
@@ -104,6 +120,50 @@
     }
     pending_.append(bytes.data(), bytes.size());
     process();
+    if (exchange_ != 0)
+    {
+        account();
+    }
+}
+
+std::size_t server_connection::request_bytes() const
+{
+    using progress = message_reader::progress;
+    if (exchange_ != 0 || reader_.state() == progress::idle)
+    {
+        return 0;
+    }
+    // The declared rest of a body is reserved, so that a request that is let in
+    // can be read to its end.
+    return reader_.expected_bytes();
+}
+
+bool server_connection::account()
+{
+    std::size_t const request = request_bytes();
+    return charge_.try_resize(
+        connection_bytes + request + pending_.capacity(),
+        request > small_request_bytes ? memory_use::large : memory_use::small);
+}
+
+bool server_connection::receives_slowly(time_point now) const
+{
+    if (closed_ || lingering_ || writing_ || exchange_ != 0 ||
+        reader_.state() == message_reader::progress::idle ||
+        request_age(now) < min_slow_age)
+    {
+        return false;
+    }
+    double const age_s =
+        std::chrono::duration<double>(request_age(now)).count();
+    return now - last_byte_time_ >= max_quiet_time ||
+           static_cast<double>(request_received_) < min_bytes_per_s * age_s;
+}
+
+void server_connection::refuse_for_memory()
+{
+    ++server_.memory_refusals_;
+    refuse(error_kind::overloaded);
 }
 
 std::size_t server_connection::feed(std::span<char const> bytes)
@@ -114,8 +174,11 @@
         reader_.set_limits(server_.limits_.header_bytes,
                            server_.limits_.body_bytes);
         reader_.set_max_header_lines(server_.limits_.header_lines);
+        request_received_ = 0;
     }
-    return reader_.feed(bytes);
+    std::size_t const used = reader_.feed(bytes);
+    request_received_ += used;
+    return used;
 }
 
 void server_connection::process()
@@ -143,6 +206,11 @@
                        : error_kind::malformed_request);
             break;
         }
+        if (!account())
+        {
+            refuse_for_memory();
+            break;
+        }
         if (reader_.state() != progress::complete)
         {
             if (reader_.state() == progress::body &&
@@ -156,9 +224,13 @@
         exchange_ = ++server_.last_exchange_;
         server_.exchanges_.emplace(exchange_, this);
         close_after_response_ = !reader_.message().keep_alive;
+        // From here on the handler accounts for the request.
+        charge_.resize(connection_bytes + pending_.capacity());
         server_.handler_.on_request(exchange_, reader_.message());
         if (exchange_ != 0)
         {
+            // What the handler has left of the message is not needed.
+            reader_.reset();
             break;
         }
     }
@@ -168,10 +240,17 @@
 void server_connection::refuse(error_kind kind)
 {
     close_after_response_ = true;
-    pending_.clear();
+    drop_input();
     write(server_.handler_.rejection(kind));
 }
 
+void server_connection::drop_input()
+{
+    reader_.reset();
+    pending_ = {};
+    charge_.resize(std::min(charge_.bytes(), connection_bytes));
+}
+
 void server_connection::respond(std::string bytes, bool close)
 {
     server_.exchanges_.erase(exchange_);
@@ -236,7 +315,7 @@
     // and the client closes first.
     lingering_ = true;
     phase_start_ = server_.time_.now();
-    pending_.clear();
+    drop_input();
     asio::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     wait_readable();
@@ -284,15 +363,22 @@
                     : now - last_byte_time_ >= limits.idle_timeout);
 }
 
+void server_connection::release()
+{
+    closed_ = true;
+    asio::error_code ignored;
+    socket_.close(ignored);
+    drop_input();
+    charge_.resize(0);
+}
+
 void server_connection::close()
 {
     if (closed_)
     {
         return;
     }
-    closed_ = true;
-    asio::error_code ignored;
-    socket_.close(ignored);
+    release();
     if (exchange_ != 0)
     {
         server_.exchanges_.erase(exchange_);
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -5,6 +5,7 @@
 #include <asio/ip/tcp.hpp>
 #include <base/time.hpp>
 #include <eventloop/http_server.hpp>
+#include <eventloop/memory_ledger.hpp>
 #include <eventloop/message_reader.hpp>
 #include <memory>
 #include <string>
@@ -20,6 +21,9 @@
 public:
     server_connection(http_server& server, asio::ip::tcp::socket socket);
 
+    /// Whether the process has the memory for one more connection. Otherwise it
+    /// must not be started.
+    bool has_memory() const { return charge_.bytes() != 0; }
     void start();
     /// Sends the rejection response for `kind` and ends the connection.
     void refuse(error_kind kind);
@@ -28,6 +32,19 @@
     /// Enforces the time limits.
     void sweep(time_point now, serving::edge_limits const& limits);
     void close();
+    /// Closes the socket and frees all that the connection holds, without a
+    /// word to the server.
+    void release();
+
+    /// Refuses the request that is being received.
+    void refuse_for_memory();
+    /// Whether a request is being received, for some time, at a rate at which a
+    /// large one would not end in time.
+    bool receives_slowly(time_point now) const;
+    /// Memory that the request being received holds.
+    std::size_t request_bytes() const;
+    /// Time since the first byte of the request being received.
+    duration request_age(time_point now) const { return now - phase_start_; }
 
     /// Whether part of a response has not been written to the socket yet.
     bool is_writing() const { return writing_ && !closed_; }
@@ -45,6 +62,11 @@
     /// present limits. Returns the number of bytes consumed.
     std::size_t feed(std::span<char const> bytes);
     void process();
+    /// Charges what the connection holds. Returns false if there is no memory
+    /// for the request being received.
+    bool account();
+    /// Frees the request being received and what came after it.
+    void drop_input();
     bool is_overdue(time_point now, serving::edge_limits const& limits) const;
     void write(std::string bytes);
     void after_write();
@@ -52,8 +74,9 @@
     http_server& server_;
     asio::ip::tcp::socket socket_;
     message_reader reader_;
-    std::string pending_; ///< received but not parsed yet
-    std::string unsent_;  ///< being written by async_write
+    memory_charge charge_; ///< connection, request being received, pending_
+    std::string pending_;  ///< received but not parsed yet
+    std::string unsent_;   ///< being written by async_write
     exchange_id exchange_ = 0;
     bool processing_ = false;
     bool writing_ = false;
@@ -65,6 +88,7 @@
     time_point phase_start_; ///< start of the current phase: idle, receiving a
                              ///< request, writing a response, lingering
     time_point last_byte_time_;
+    std::size_t request_received_ = 0; ///< bytes of the present request
 };
 
 } // namespace kumquatramp::eventloop
--- a/eventloop/src/http_server.cpp
+++ b/eventloop/src/http_server.cpp
@@ -2,7 +2,9 @@
 #include "details/server_connection.hpp"
 #include <algorithm>
 #include <eventloop/http_server.hpp>
+#include <eventloop/process_budget.hpp>
 #include <eventloop/socket_options.hpp>
+#include <vector>
 
 namespace kumquatramp::eventloop
 {
@@ -21,16 +23,26 @@
 } // namespace
 
 http_server::http_server(asio::io_context& loop, clock const& time,
-                         request_handler& handler)
+                         request_handler& handler, process_budget* budget)
     : loop_(loop)
     , time_(time)
     , handler_(handler)
+    , own_budget_(budget == nullptr ? std::make_unique<process_budget>()
+                                    : nullptr)
+    , budget_(budget == nullptr ? *own_budget_ : *budget)
     , acceptor_(loop)
     , accept_timer_(loop)
 {
 }
 
-http_server::~http_server() = default;
+http_server::~http_server()
+{
+    // The event loop may hold connections for longer than the server exists.
+    for (auto const& [raw, connection] : connections_)
+    {
+        connection->release();
+    }
+}
 
 std::uint16_t http_server::listen(asio::ip::tcp::endpoint const& at)
 {
@@ -80,6 +92,11 @@
     bool const full = connections_.size() >= limits_.connections;
     auto connection =
         std::make_shared<server_connection>(*this, std::move(socket));
+    if (!connection->has_memory())
+    {
+        ++memory_refusals_;
+        return;
+    }
     connections_.emplace(connection.get(), connection);
     connection->start();
     if (full)
@@ -115,6 +132,42 @@
     {
         connection->sweep(now, limits_);
     }
+    if (budget_.memory.is_short())
+    {
+        relieve_memory(now);
+    }
+}
+
+void http_server::relieve_memory(time_point now)
+{
+    struct candidate
+    {
+        server_connection* connection;
+        double weight; ///< bytes held x seconds
+    };
+    std::vector<candidate> candidates;
+    for (auto const& [raw, connection] : connections_)
+    {
+        if (connection->receives_slowly(now))
+        {
+            candidates.push_back(
+                {raw,
+                 static_cast<double>(connection->request_bytes()) *
+                     std::chrono::duration<double>(connection->request_age(now))
+                         .count()});
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](candidate const& a, candidate const& b)
+              { return a.weight > b.weight; });
+    for (auto const& c : candidates)
+    {
+        if (budget_.memory.shortage() == 0)
+        {
+            return;
+        }
+        c.connection->refuse_for_memory();
+    }
 }
 
 std::size_t http_server::unfinished_responses() const
--- a/eventloop/src/message_reader.cpp
+++ b/eventloop/src/message_reader.cpp
@@ -92,6 +92,7 @@
     message_.body.shrink_to_fit();
     message_.keep_alive = true;
     head_size_ = 0;
+    declared_body_bytes_ = 0;
     in_value_ = false;
     no_body_ = no_body;
     expects_continue_ = false;
@@ -172,6 +173,50 @@
     return true;
 }
 
+std::size_t message_reader::buffered_head_bytes() const
+{
+    // Strings that are appended to have up to twice the capacity that they use.
+    constexpr std::size_t text_growth = 2;
+    return text_growth * head_size_ +
+           (message_.headers.empty()
+                ? 0
+                : message_.headers.capacity() * sizeof(header_line));
+}
+
+std::size_t message_reader::buffered_body_bytes() const
+{
+    std::size_t const in_place = std::string().capacity();
+    std::size_t const capacity = message_.body.capacity();
+    return capacity > in_place ? capacity : 0;
+}
+
+std::size_t message_reader::buffered_bytes() const
+{
+    return buffered_head_bytes() + buffered_body_bytes();
+}
+
+std::size_t message_reader::expected_bytes() const
+{
+    return buffered_head_bytes() +
+           std::max(buffered_body_bytes(), declared_body_bytes_);
+}
+
+void message_reader::reserve_body(std::size_t bytes)
+{
+    std::string& body = message_.body;
+    if (bytes <= body.capacity())
+    {
+        return;
+    }
+    std::size_t const most =
+        declared_body_bytes_ != 0 ? declared_body_bytes_ : max_body_bytes_;
+    std::string larger;
+    larger.reserve(
+        std::clamp(2 * body.capacity(), bytes, std::max(most, bytes)));
+    larger += body;
+    body.swap(larger);
+}
+
 int message_reader::on_begin(http_parser* p)
 {
     self(p)->state_ = progress::head;
@@ -237,11 +282,14 @@
     {
         r->message_.status = static_cast<int>(p->status_code);
     }
-    if (p->content_length != ~std::uint64_t{0} &&
-        p->content_length > r->max_body_bytes_)
+    if (p->content_length != ~std::uint64_t{0})
     {
-        r->state_ = progress::body_too_large;
-        return -1;
+        if (p->content_length > r->max_body_bytes_)
+        {
+            r->state_ = progress::body_too_large;
+            return -1;
+        }
+        r->declared_body_bytes_ = static_cast<std::size_t>(p->content_length);
     }
     return r->no_body_ ? 1 : 0;
 }
@@ -254,6 +302,7 @@
         r->state_ = progress::body_too_large;
         return 1;
     }
+    r->reserve_body(r->message_.body.size() + length);
     r->message_.body.append(at, length);
     return 0;
 }
--- a/eventloop/tests/message_reader_test.cpp
+++ b/eventloop/tests/message_reader_test.cpp
@@ -186,4 +186,27 @@
     CHECK(reader.message().headers.capacity() < 100);
 }
 
+// Guards against a body that grows by doubling to twice what it may use.
+TEST_CASE("a body is not given more memory than its limit")
+{
+    constexpr std::size_t limit = 262'144;
+    constexpr std::size_t piece = 3000;
+    bool const chunked = GENERATE(false, true);
+    CAPTURE(chunked);
+    message_reader reader(message_reader::kind::request, header_limit, limit);
+    reader.feed(
+        std::string("POST / HTTP/1.1\r\n") +
+        (chunked ? "Transfer-Encoding: chunked" : "Content-Length: 200000") +
+        "\r\n\r\n");
+    CHECK(reader.expected_bytes() >= (chunked ? 0U : 200'000U));
+    std::size_t const end = chunked ? limit - piece : 200'000 - piece;
+    for (std::size_t sent = 0; sent <= end; sent += piece)
+    {
+        reader.feed(chunked ? "bb8\r\n" + std::string(piece, 'b') + "\r\n"
+                            : std::string(piece, 'b'));
+        CHECK(reader.message().body.size() == sent + piece);
+        CHECK(reader.message().body.capacity() <= (chunked ? limit : 200'000));
+    }
+}
+
 } // namespace kumquatramp::eventloop
--- a/host/bench/query_path.cpp
+++ b/host/bench/query_path.cpp
@@ -11,6 +11,7 @@
 #include <eventloop/http_message.hpp>
 #include <eventloop/http_server.hpp>
 #include <eventloop/message_reader.hpp>
+#include <eventloop/process_budget.hpp>
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <host/front_service.hpp>
@@ -251,8 +252,9 @@
         targets.put(record, time.now());
     }
     serving::warmup_share warmup("bench");
+    eventloop::process_budget budget;
     host::front_service front(loop, time, wire, {}, random, targets, fleet,
-                              warmup, log);
+                              warmup, log, budget);
     front.engine().set_catalogue(catalogue());
     front.server().listen(loopback(front_port));
 
--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -19,7 +19,8 @@
 namespace kumquatramp::eventloop
 {
 struct http_message;
-}
+struct process_budget;
+} // namespace kumquatramp::eventloop
 
 namespace kumquatramp::host
 {
@@ -37,7 +38,8 @@
                   wire_profile const& wire, serving::serving_options options,
                   random_source& random, serving::target_table& targets,
                   serving::fleet_size const& fleet,
-                  serving::warmup_share& warmup, host_log& log);
+                  serving::warmup_share& warmup, host_log& log,
+                  eventloop::process_budget& budget);
     ~front_service() override;
 
     serving::request_engine& engine() { return engine_; }
@@ -111,6 +113,7 @@
     clock const& time_;
     wire_profile const& wire_;
     host_log& log_;
+    random_source& random_;
     serving::target_table& targets_;
     service_counters counters_;
     eventloop::http_server server_;
--- a/host/include/host/host_settings.hpp
+++ b/host/include/host/host_settings.hpp
@@ -5,6 +5,7 @@
 #include <base/result.hpp>
 #include <base/time.hpp>
 #include <cstdint>
+#include <host/machine_limits.hpp>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
     std::string ip;
     std::string zone;
     double cpu_share = 1.0; ///< in cores; weight of this host within the fleet
+    machine_limits machine;
 
     std::string clients;   ///< listen address for client requests
     std::string readiness; ///< listen address for readiness checks
@@ -44,11 +46,14 @@
     duration directory_ttl = 3s; ///< longest lifetime of a directory answer
 };
 
-/// Reads and validates a file; the error names the key and its fault.
-result<host_settings> read_settings(std::string const& path);
+/// Reads and validates a file; the error names the key and its fault. `machine`
+/// holds where the file does not state a limit of the machine.
+result<host_settings> read_settings(std::string const& path,
+                                    machine_limits const& machine = {});
 
 /// Like read_settings, but on the text of a file.
-result<host_settings> parse_settings(std::string const& text);
+result<host_settings> parse_settings(std::string const& text,
+                                     machine_limits const& machine = {});
 
 } // namespace kumquatramp::host
 
--- a/host/src/endpoint.cpp
+++ b/host/src/endpoint.cpp
@@ -9,8 +9,9 @@
 namespace kumquatramp::host
 {
 
-endpoint::endpoint(asio::io_context& loop, clock const& time, handler handle)
-    : server_(loop, time, *this)
+endpoint::endpoint(asio::io_context& loop, clock const& time,
+                   eventloop::process_budget& budget, handler handle)
+    : server_(loop, time, *this, &budget)
     , handle_(std::move(handle))
 {
 }
--- a/host/src/endpoint.hpp
+++ b/host/src/endpoint.hpp
@@ -24,7 +24,8 @@
     using handler = std::function<endpoint_answer(std::string_view method,
                                                   std::string_view target)>;
 
-    endpoint(asio::io_context& loop, clock const& time, handler handle);
+    endpoint(asio::io_context& loop, clock const& time,
+             eventloop::process_budget& budget, handler handle);
 
     /// Throws std::system_error if the address cannot be bound.
     void listen(std::string const& address);
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -21,6 +21,10 @@
 using eventloop::header_names_equal;
 using eventloop::http_message;
 
+/// Retry-After of a request that was refused before it was read, for lack of
+/// memory or connections: by then the slowest clients have been given up.
+constexpr duration unread_retry_after = 500ms;
+
 } // namespace
 
 front_service::front_service(asio::io_context& loop, clock const& time,
@@ -29,12 +33,14 @@
                              random_source& random,
                              serving::target_table& targets,
                              serving::fleet_size const& fleet,
-                             serving::warmup_share& warmup, host_log& log)
+                             serving::warmup_share& warmup, host_log& log,
+                             eventloop::process_budget& budget)
     : time_(time)
     , wire_(wire)
     , log_(log)
+    , random_(random)
     , targets_(targets)
-    , server_(loop, time, *this)
+    , server_(loop, time, *this, &budget)
     , pool_(loop, time, *this)
     , engine_(options, random, targets, fleet, warmup, *this)
     , timer_(loop)
@@ -149,7 +155,14 @@
 {
     counters_.count_error(kind);
     log_.note("client.rejected", answer_of(kind).code, answer_of(kind).text);
-    return serialize_error(kind, std::nullopt, true);
+    // Jitter, so that refused clients do not all return at once.
+    auto const pause = std::chrono::duration_cast<duration>(
+        unread_retry_after * (0.75 + 0.5 * random_.unit()));
+    return serialize_error(kind,
+                           answer_of(kind).retry_after
+                               ? std::optional<duration>(pause)
+                               : std::nullopt,
+                           true);
 }
 
 void front_service::start_attempt(serving::attempt_order const& order)
--- a/host/src/host_settings.cpp
+++ b/host/src/host_settings.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <base/milliseconds.hpp>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <host/host_settings.hpp>
 #include <ini.h>
@@ -14,6 +15,10 @@
 namespace
 {
 
+/// Least memory with which a host can serve.
+constexpr std::size_t min_memory_mb = 32;
+constexpr double max_whole_number = 1e9;
+
 using ini_entries = std::map<std::string, std::string>;
 
 int add_entry(void* user, char const* section, char const* name,
@@ -84,6 +89,20 @@
         return parsed;
     }
 
+    std::size_t whole_number(std::string const& key, std::size_t default_value,
+                             std::size_t least)
+    {
+        double const value = number(key, static_cast<double>(default_value));
+        if (value < static_cast<double>(least) || value > max_whole_number ||
+            value != std::floor(value))
+        {
+            fault(key, "is not a whole number from " + std::to_string(least) +
+                           " to 1e9");
+            return default_value;
+        }
+        return static_cast<std::size_t>(value);
+    }
+
     duration milliseconds(std::string const& key, duration default_value)
     {
         double const ms = number(
@@ -110,7 +129,8 @@
 
 } // namespace
 
-result<host_settings> parse_settings(std::string const& text)
+result<host_settings> parse_settings(std::string const& text,
+                                     machine_limits const& machine)
 {
     ini_entries entries;
     int const bad_line = ini_parse_string(text.c_str(), add_entry, &entries);
@@ -126,6 +146,8 @@
     s.ip = read.text("host.ip");
     s.zone = read.text("host.zone");
     s.cpu_share = read.number("host.cpu_share", s.cpu_share);
+    s.machine.memory_mb =
+        read.whole_number("host.memory_mb", machine.memory_mb, min_memory_mb);
     s.clients = read.text("listen.clients");
     s.readiness = read.optional_text("listen.readiness");
     s.control = read.optional_text("listen.control");
@@ -159,7 +181,8 @@
     return s;
 }
 
-result<host_settings> read_settings(std::string const& path)
+result<host_settings> read_settings(std::string const& path,
+                                    machine_limits const& machine)
 {
     std::ifstream file(path);
     if (!file)
@@ -169,7 +192,7 @@
     }
     std::stringstream text;
     text << file.rdbuf();
-    return parse_settings(text.str());
+    return parse_settings(text.str(), machine);
 }
 
 } // namespace kumquatramp::host
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -53,6 +53,8 @@
     , path_(std::move(path))
     , adapter_(adapter)
     , log_(STDOUT_FILENO, settings_.name, time_)
+    , budget_{.memory =
+                  eventloop::memory_ledger(request_memory(settings_.machine))}
     , fleet_({.ip = settings_.ip,
               .zone = settings_.zone,
               .incarnation = unix_ms(),
@@ -63,14 +65,14 @@
     , warmup_(settings_.ip)
     , front_(loop_, time_, adapter.wire(),
              to_serving_options(settings_, started_), random_, targets_, fleet_,
-             warmup_, log_)
-    , readiness_(loop_, time_,
+             warmup_, log_, budget_)
+    , readiness_(loop_, time_, budget_,
                  [this](auto method, auto target)
                  { return answer_readiness(method, target); })
-    , directory_(loop_, time_,
+    , directory_(loop_, time_, budget_,
                  [this](auto method, auto target)
                  { return answer_directory(method, target); })
-    , control_(loop_, time_,
+    , control_(loop_, time_, budget_,
                [this](auto method, auto target)
                { return answer_control(method, target); })
     , store_(adapter.connect_store(
--- a/host/src/query_host_details.hpp
+++ b/host/src/query_host_details.hpp
@@ -12,6 +12,7 @@
 #include <ctime>
 #include <eventloop/boot_clock.hpp>
 #include <eventloop/datagram_socket.hpp>
+#include <eventloop/process_budget.hpp>
 #include <fleet/fleet_view.hpp>
 #include <fleet/serving_role.hpp>
 #include <host/front_service.hpp>
@@ -81,6 +82,7 @@
     asio::io_context loop_{1};
     seeded_random random_{std::random_device{}()};
     host_log log_;
+    eventloop::process_budget budget_;
     fleet::fleet_view fleet_;
     serving::target_table targets_;
     serving::warmup_share warmup_;
--- a/host/tests/front_fixture.hpp
+++ b/host/tests/front_fixture.hpp
@@ -7,6 +7,7 @@
 #include <asio/ip/tcp.hpp>
 #include <base/seeded_random.hpp>
 #include <eventloop/boot_clock.hpp>
+#include <eventloop/process_budget.hpp>
 #include <host/front_service.hpp>
 #include <host/host_log.hpp>
 #include <host/wire_profile.hpp>
@@ -75,6 +76,7 @@
     eventloop::boot_clock time;
     wire_profile wire;
     host_log log;
+    eventloop::process_budget budget;
     seeded_random random{1};
     single_host_fleet fleet;
     serving::target_table table;
--- a/host/tests/host_settings_test.cpp
+++ b/host/tests/host_settings_test.cpp
@@ -55,6 +55,35 @@
     CHECK_FALSE(read_settings("/nonexistent/settings.ini"));
 }
 
+TEST_CASE("the machine's limits come from the file or else from its caller")
+{
+    machine_limits const machine{.memory_mb = 182};
+    CHECK(parse_settings(valid_settings).value().machine.memory_mb == 112);
+    CHECK(parse_settings(valid_settings, machine).value().machine.memory_mb ==
+          182);
+    std::string const text = std::string(valid_settings) + "[host]\n";
+    CHECK(parse_settings(text + "memory_mb = 64\n", machine)
+              .value()
+              .machine.memory_mb == 64);
+    for (char const* const bad : {"8", "0", "64.5", "1e12", "much"})
+    {
+        CAPTURE(bad);
+        CHECK_FALSE(parse_settings(text + "memory_mb = " + bad + "\n"));
+    }
+}
+
+// A host must fit into its machine beside the requests that it holds.
+TEST_CASE("requests may use a part of the machine's memory")
+{
+    constexpr std::size_t megabyte = 1U << 20U;
+    for (std::size_t const mb : {64, 112, 182, 512})
+    {
+        std::size_t const bytes = request_memory({.memory_mb = mb});
+        CHECK(bytes >= mb * megabyte / 2);
+        CHECK(bytes <= mb * megabyte * 3 / 4);
+    }
+}
+
 TEST_CASE(
     "messages between hosts round-trip, and truncated or foreign bytes are "
     "rejected")
