Bound the memory of requests in progress

Cause: the number of requests in progress was bounded, not their size, and each send held a further copy of head and body while its target did not read.

A request in progress is charged to the process's ledger; one that finds no room is refused with 503 and Retry-After and was not sent. Sends share the body of their request, which is freed with the last of them.

Unit tests: host_tests "a request is refused while others hold the memory for its body", eventloop_tests "a body is shared with the connection and written whole".

--- a/eventloop/include/eventloop/upstream_pool.hpp
+++ b/eventloop/include/eventloop/upstream_pool.hpp
@@ -15,6 +15,7 @@
 {
 
 struct http_message;
+struct outgoing_request;
 class upstream_connection;
 
 /// Outcome of sending a request over a connection.
@@ -47,8 +48,9 @@
     virtual ~upstream_client() = default;
 
     /// Returns the serialized request. Called immediately before it is sent;
-    /// an empty string cancels the send.
-    virtual std::string request_bytes(serving::attempt_handle attempt) = 0;
+    /// an empty one cancels the send.
+    virtual outgoing_request
+    serialize_request(serving::attempt_handle attempt) = 0;
 
     /// Whether a response belongs to the attempt's request.
     virtual bool matches_request(serving::attempt_handle attempt,
--- a/eventloop/src/details/upstream_connection.cpp
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -1,6 +1,8 @@
 // Sends one request at a time and reads its response.
 #include "details/upstream_connection.hpp"
 #include "details/read_buffer.hpp"
+#include <algorithm>
+#include <array>
 #include <asio/write.hpp>
 #include <charconv>
 #include <eventloop/socket_options.hpp>
@@ -115,8 +117,8 @@
     current_send_ = std::move(order);
     has_current_send_ = true;
     serving::attempt_handle const attempt = current_send_.order.attempt;
-    std::string bytes = pool_.client_.request_bytes(attempt);
-    if (bytes.empty())
+    outgoing_request request = pool_.client_.serialize_request(attempt);
+    if (request.empty())
     {
         release_attempt();
         pool_.post_not_sent(attempt, "");
@@ -126,8 +128,11 @@
     response_started_ = false;
     response_bytes_ = 0;
     reader_.reset(current_send_.no_body);
+    std::array<asio::const_buffer, 2> const bytes{
+        asio::buffer(request.head),
+        request.body ? asio::buffer(*request.body) : asio::const_buffer()};
     asio::error_code failed;
-    std::size_t const sent = socket_.write_some(asio::buffer(bytes), failed);
+    std::size_t const sent = socket_.write_some(bytes, failed);
     if (failed && failed != asio::error::would_block)
     {
         release_attempt();
@@ -136,18 +141,24 @@
                             "connection closed before the request was sent");
         return;
     }
-    if (sent == bytes.size())
+    if (sent == asio::buffer_size(bytes))
     {
         return;
     }
-    unsent_ = bytes.substr(sent);
+    outgoing_ = std::move(request);
     writing_ = true;
+    std::size_t const head_sent = std::min(sent, outgoing_.head.size());
+    std::size_t const body_sent = sent - head_sent;
+    std::array<asio::const_buffer, 2> const unsent{
+        asio::buffer(outgoing_.head) + head_sent,
+        outgoing_.body ? asio::buffer(*outgoing_.body) + body_sent
+                       : asio::const_buffer()};
     asio::async_write(
-        socket_, asio::buffer(unsent_),
+        socket_, unsent,
         [self = shared_from_this()](asio::error_code const& e, std::size_t)
         {
             self->writing_ = false;
-            self->unsent_.clear();
+            self->outgoing_ = {};
             if (e && self->state_ != state::closed)
             {
                 self->on_stream_end(false);
--- a/eventloop/src/details/upstream_connection.hpp
+++ b/eventloop/src/details/upstream_connection.hpp
@@ -5,6 +5,7 @@
 #include <asio/ip/tcp.hpp>
 #include <base/time.hpp>
 #include <eventloop/message_reader.hpp>
+#include <eventloop/outgoing_request.hpp>
 #include <eventloop/upstream_pool.hpp>
 #include <memory>
 #include <optional>
@@ -78,8 +79,8 @@
     bool response_started_ = false;  ///< bytes of the response have arrived
     std::size_t response_bytes_ = 0; ///< received of the response
     std::size_t buffered_bytes_ = 0; ///< held by its head and body
-    bool writing_ = false; ///< an async_write of the request is pending
-    std::string unsent_;
+    bool writing_ = false;      ///< an async_write of the request is pending
+    outgoing_request outgoing_; ///< while writing_
     state state_ = state::connecting;
     time_point state_since_; ///< when the current state was entered
     duration idle_limit_;
--- a/eventloop/tests/upstream_pool_test.cpp
+++ b/eventloop/tests/upstream_pool_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <eventloop/boot_clock.hpp>
 #include <eventloop/http_message.hpp>
+#include <eventloop/outgoing_request.hpp>
 #include <eventloop/upstream_pool.hpp>
 #include <map>
 #include <optional>
@@ -37,12 +38,13 @@
         acceptor.non_blocking(true);
     }
 
-    std::string request_bytes(serving::attempt_handle attempt) override
+    outgoing_request serialize_request(serving::attempt_handle attempt) override
     {
-        return wanted ? "GET /" + std::to_string(attempt) +
-                            " HTTP/1.1\r\nX-Id: " + std::to_string(attempt) +
-                            "\r\n\r\n" + extra
-                      : "";
+        return {wanted ? "GET /" + std::to_string(attempt) +
+                             " HTTP/1.1\r\nX-Id: " + std::to_string(attempt) +
+                             "\r\n\r\n" + extra
+                       : "",
+                shared_body};
     }
     bool matches_request(serving::attempt_handle attempt,
                          http_message const& answer) override
@@ -120,6 +122,7 @@
     bool wanted = true;
     int losses = 0;
     std::string extra;
+    std::shared_ptr<std::string const> shared_body;
 };
 
 std::string ok(std::string const& body, std::string const& headers = "")
@@ -471,6 +474,36 @@
     CHECK(f.pool.stats().open == 0);
 }
 
+TEST_CASE("a body is shared with the connection and written whole")
+{
+    fixture f;
+    std::string const text = []
+    {
+        std::string digits;
+        for (int i = 0; digits.size() < 6'000'000; ++i)
+        {
+            digits += std::to_string(i);
+        }
+        return digits;
+    }();
+    f.shared_body = std::make_shared<std::string const>(text);
+    f.start(1);
+    auto target = f.accept();
+    REQUIRE(target);
+    f.run(20);
+    CHECK(f.shared_body.use_count() == 2);
+    for (int i = 0; i < 3000 && !target->received().ends_with(text); ++i)
+    {
+        target->read_available();
+        f.run(1);
+    }
+    CHECK(target->received().ends_with("\r\n\r\n" + text));
+    CHECK(f.shared_body.use_count() == 1);
+    target->send(ok("done"));
+    CHECK(f.outcome(1) == send_outcome::answered);
+    CHECK(f.pool.stats().open == 1);
+}
+
 TEST_CASE("interim responses are skipped")
 {
     fixture f;
--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 #include <base/clock.hpp>
 #include <eventloop/http_server.hpp>
+#include <eventloop/memory_ledger.hpp>
 #include <eventloop/upstream_pool.hpp>
 #include <host/service_counters.hpp>
 #include <host/wire_profile.hpp>
@@ -69,7 +70,8 @@
     std::string rejection(error_kind kind) override;
 
     // upstream_client: calls from target connections.
-    std::string request_bytes(serving::attempt_handle attempt) override;
+    eventloop::outgoing_request
+    serialize_request(serving::attempt_handle attempt) override;
     bool matches_request(serving::attempt_handle attempt,
                          eventloop::http_message const& answer) override;
     void on_end(serving::attempt_handle attempt,
@@ -100,6 +102,15 @@
         time_point sent_at{};
     };
 
+    /// Answers a request that the engine does not get, and closes its
+    /// connection.
+    void refuse_unsubmitted(eventloop::exchange_id exchange,
+                            std::string const& id, error_kind kind,
+                            std::optional<duration> retry_after);
+    /// Charges a request to the ledger. Returns false if there is no room.
+    bool account(exchange_state& exchange);
+    /// Retry-After of a request that is refused for lack of memory.
+    duration memory_retry_after();
     void arm_timer();
     serving::target_reply parse_reply(eventloop::send_outcome outcome,
                                       eventloop::http_message* answer,
@@ -116,6 +127,7 @@
     random_source& random_;
     serving::target_table& targets_;
     service_counters counters_;
+    eventloop::memory_ledger& memory_;
     eventloop::http_server server_;
     eventloop::upstream_pool pool_;
     serving::request_engine engine_;
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -5,6 +5,8 @@
 #include <asio/post.hpp>
 #include <base/error_answer.hpp>
 #include <eventloop/http_message.hpp>
+#include <eventloop/outgoing_request.hpp>
+#include <eventloop/process_budget.hpp>
 #include <fmt/format.h>
 #include <host/front_service.hpp>
 #include <host/host_log.hpp>
@@ -21,9 +23,14 @@
 using eventloop::header_names_equal;
 using eventloop::http_message;
 
-/// Retry-After of a request that was refused before it was read, for lack of
-/// memory or connections: by then the slowest clients have been given up.
-constexpr duration unread_retry_after = 500ms;
+/// Mean Retry-After of a request that is refused for lack of memory: by then
+/// the slowest clients have been given up.
+constexpr duration memory_pause = 500ms;
+
+/// Charged for each request in progress, beside its head and body.
+constexpr std::size_t request_bytes = 2048;
+/// Larger bodies leave memory to other requests.
+constexpr std::size_t small_body_bytes = 16384;
 
 } // namespace
 
@@ -40,6 +47,7 @@
     , log_(log)
     , random_(random)
     , targets_(targets)
+    , memory_(budget.memory)
     , server_(loop, time, *this, &budget)
     , pool_(loop, time, *this)
     , engine_(options, random, targets, fleet, warmup, *this)
@@ -83,31 +91,54 @@
     pool_.sweep();
 }
 
+duration front_service::memory_retry_after()
+{
+    // Jitter, so that refused clients do not all return at once.
+    return std::chrono::duration_cast<duration>(memory_pause *
+                                                (0.75 + 0.5 * random_.unit()));
+}
+
+bool front_service::account(exchange_state& exchange)
+{
+    using eventloop::memory_use;
+    std::size_t const body = exchange.body->bytes.capacity();
+    return exchange.charge.try_resize(request_bytes + exchange.head.capacity(),
+                                      memory_use::small) &&
+           exchange.body->charge.try_resize(body, body > small_body_bytes
+                                                      ? memory_use::large
+                                                      : memory_use::small);
+}
+
+void front_service::refuse_unsubmitted(eventloop::exchange_id exchange,
+                                       std::string const& id, error_kind kind,
+                                       std::optional<duration> retry_after)
+{
+    counters_.count_error(kind);
+    serving::request_summary summary;
+    summary.outcome = answer_of(kind).code;
+    log_.request(id, summary);
+    server_.respond(exchange, serialize_error(kind, retry_after, true), true);
+}
+
 void front_service::on_request(eventloop::exchange_id exchange,
                                http_message& message)
 {
     ++counters_.requests;
-    auto state = std::make_unique<exchange_state>();
+    auto state = std::make_unique<exchange_state>(memory_);
     state->id = message.header(wire_.request_id);
     state->method = message.method;
     state->client_keep_alive = message.keep_alive;
     state->arrived_at = time_.now();
     std::string_view const host = message.header("Host");
-    if (refusing_requests_ || state->id.empty() || host.empty())
+    if (refusing_requests_)
+    {
+        refuse_unsubmitted(exchange, state->id, error_kind::leaving, 100ms);
+        return;
+    }
+    if (state->id.empty() || host.empty())
     {
-        auto const kind = refusing_requests_ ? error_kind::leaving
-                                             : error_kind::malformed_request;
-        counters_.count_error(kind);
-        serving::request_summary summary;
-        summary.outcome = answer_of(kind).code;
-        log_.request(state->id, summary);
-        server_.respond(exchange,
-                        serialize_error(kind,
-                                        refusing_requests_
-                                            ? std::optional<duration>(100ms)
-                                            : std::nullopt,
-                                        true),
-                        true);
+        refuse_unsubmitted(exchange, state->id, error_kind::malformed_request,
+                           std::nullopt);
         return;
     }
     fmt::format_to(std::back_inserter(state->head), "{} {} HTTP/1.1\r\n",
@@ -124,12 +155,18 @@
         state->head.append(line.name).append(": ").append(line.value);
         state->head.append("\r\n");
     }
-    state->body = std::move(message.body);
-    if (!state->body.empty() ||
-        (state->method != "GET" && state->method != "HEAD"))
+    std::string& body = state->body->bytes;
+    body = std::move(message.body);
+    if (!body.empty() || (state->method != "GET" && state->method != "HEAD"))
     {
         fmt::format_to(std::back_inserter(state->head),
-                       "Content-Length: {}\r\n", state->body.size());
+                       "Content-Length: {}\r\n", body.size());
+    }
+    if (!account(*state))
+    {
+        refuse_unsubmitted(exchange, state->id, error_kind::overloaded,
+                           memory_retry_after());
+        return;
     }
     auto const left =
         parse_number<std::int64_t>(message.header(wire_.time_left_ms));
@@ -155,12 +192,9 @@
 {
     counters_.count_error(kind);
     log_.note("client.rejected", answer_of(kind).code, answer_of(kind).text);
-    // Jitter, so that refused clients do not all return at once.
-    auto const pause = std::chrono::duration_cast<duration>(
-        unread_retry_after * (0.75 + 0.5 * random_.unit()));
     return serialize_error(kind,
                            answer_of(kind).retry_after
-                               ? std::optional<duration>(pause)
+                               ? std::optional<duration>(memory_retry_after())
                                : std::nullopt,
                            true);
 }
@@ -186,7 +220,8 @@
     pool_.abandon(attempt);
 }
 
-std::string front_service::request_bytes(serving::attempt_handle attempt)
+eventloop::outgoing_request
+front_service::serialize_request(serving::attempt_handle attempt)
 {
     time_point const now = time_.now();
     auto const send = sends_.find(attempt);
@@ -204,14 +239,17 @@
                send->second.deadline - now)
                .count());
     exchange_state const& e = *exchange->second;
-    std::string bytes;
-    bytes.reserve(e.head.size() + e.body.size() + 128);
-    bytes += e.head;
-    fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n{}: {}\r\n\r\n",
+    eventloop::outgoing_request request;
+    request.head.reserve(e.head.size() + 128);
+    request.head += e.head;
+    fmt::format_to(std::back_inserter(request.head), "{}: {}\r\n{}: {}\r\n\r\n",
                    wire_.time_left_ms, left, wire_.expected_instance,
                    send->second.instance);
-    bytes += e.body;
-    return bytes;
+    if (!e.body->bytes.empty())
+    {
+        request.body = {e.body, &e.body->bytes};
+    }
+    return request;
 }
 
 bool front_service::matches_request(serving::attempt_handle attempt,
--- a/host/tests/front_fixture.hpp
+++ b/host/tests/front_fixture.hpp
@@ -55,8 +55,11 @@
 class front_fixture
 {
 public:
-    /// `max_connections` of each target, from all hosts; 0: no limit.
-    explicit front_fixture(int max_connections = 0);
+    /// `max_connections` of each target, from all hosts; 0: no limit. `memory`
+    /// is that for requests, in bytes.
+    explicit front_fixture(
+        int max_connections = 0,
+        std::size_t memory = eventloop::memory_ledger::unlimited);
     ~front_fixture();
 
     /// Adds a target of the service to the table.
--- a/host/tests/front_service_test.cpp
+++ b/host/tests/front_service_test.cpp
@@ -158,4 +158,44 @@
     CHECK(f.front.engine().in_progress() == 0);
 }
 
+// Guards against a host whose memory fills with the bodies of requests that
+// wait for targets that do not answer (review/6).
+TEST_CASE("a request is refused while others hold the memory for its body")
+{
+    front_fixture f(0, 400'000);
+    auto& target = f.add_target("t1");
+    auto waiting = f.connect_client();
+    waiting.send(request("POST", "/once/x", "id-1", std::string(200'000, 'b')));
+    REQUIRE(f.await_request(target, "id-1"));
+    std::size_t const held = f.budget.memory.used();
+    CHECK(held >= 200'000);
+    CHECK(held <= 300'000);
+
+    auto refused_one = f.connect_client();
+    refused_one.send(
+        request("POST", "/once/x", "id-2", std::string(200'000, 'b')));
+    auto const refusal = refused_one.receive_until(f.loop, "\r\n\r\n");
+    CHECK(refusal.substr(9, 3) == "503");
+    CHECK(refusal.find("Retry-After: 0.") != std::string::npos);
+    CHECK(refusal.find("\"run\":\"not run\"") != std::string::npos);
+    CHECK_FALSE(f.await_request(target, "id-2", 50));
+
+    auto small = f.connect_client();
+    small.send(request("POST", "/once/x", "id-3", "order"));
+    auto const at = f.await_request(target, "id-3");
+    REQUIRE(at);
+    target.connections[*at].send(served("id-3"));
+    CHECK(small.receive_until(f.loop, "done").substr(9, 3) == "200");
+
+    waiting.close();
+    small.close();
+    refused_one.close();
+    for (auto& c : target.connections)
+    {
+        c.close();
+    }
+    f.run(50);
+    CHECK(f.budget.memory.used() == 0);
+}
+
 } // namespace kumquatramp::host
--- a/transport/include/transport/target_client.hpp
+++ b/transport/include/transport/target_client.hpp
@@ -73,7 +73,7 @@
     };
 
     // upstream_client
-    std::string request_bytes(handle attempt) override;
+    eventloop::outgoing_request serialize_request(handle attempt) override;
     bool matches_request(handle attempt,
                          eventloop::http_message const& answer) override;
     void on_end(handle attempt, eventloop::send_outcome outcome,
--- a/transport/src/target_client.cpp
+++ b/transport/src/target_client.cpp
@@ -3,6 +3,7 @@
 #include <asio/dispatch.hpp>
 #include <asio/post.hpp>
 #include <eventloop/http_message.hpp>
+#include <eventloop/outgoing_request.hpp>
 #include <serving/target.hpp>
 #include <transport/socket_address.hpp>
 #include <transport/target_client.hpp>
@@ -223,7 +224,7 @@
         });
 }
 
-std::string target_client::request_bytes(handle attempt)
+eventloop::outgoing_request target_client::serialize_request(handle attempt)
 {
     auto const found = pending_sends_.find(attempt);
     if (found == pending_sends_.end())
@@ -234,15 +235,15 @@
     time_point const now = time_.now();
     if (pending.withdrawal)
     {
-        return serialize_cancel_request(pending.attempt.id,
-                                        pending.to->record.address);
+        return {serialize_cancel_request(pending.attempt.id,
+                                         pending.to->record.address)};
     }
     if (now >= pending.attempt.deadline ||
         !events_.may_send(pending.attempt.id))
     {
         return {};
     }
-    return serialize_execute_request(pending.attempt, pending.trace, now);
+    return {serialize_execute_request(pending.attempt, pending.trace, now)};
 }
 
 bool target_client::matches_request(handle attempt, http_message const& answer)
