Bound the sockets of clients and keep some for targets and the host

Cause: the limit on connections was a constant of 65,536, and refused connections were not counted.

One budget of sockets for the process: clients leave a quarter to targets, and both leave 32 to the host itself; readiness, directory and control get an eighth each. A connection beyond it is closed at once. While less than a tenth of the clients' part is free, connections that have been quiet for a second are closed, the longest quiet first; never one with a request in progress. A request that finds no socket takes that of an idle connection or waits.

--- a/eventloop/include/eventloop/http_server.hpp
+++ b/eventloop/include/eventloop/http_server.hpp
@@ -7,6 +7,7 @@
 #include <base/clock.hpp>
 #include <base/error_kind.hpp>
 #include <cstdint>
+#include <eventloop/budget_reference.hpp>
 #include <memory>
 #include <serving/edge_limits.hpp>
 #include <string>
@@ -16,7 +17,6 @@
 {
 
 struct http_message;
-struct process_budget;
 class server_connection;
 
 /// Identifies one request on one connection; never reused.
@@ -74,13 +74,19 @@
     void set_closing() { closing_ = true; }
     bool closing() const { return closing_; }
 
-    /// Enforces the time limits and, if memory is short, refuses requests whose
-    /// bodies arrive too slowly. Must be called a few times per second.
+    /// Enforces the time limits. If memory is short, refuses requests whose
+    /// bodies arrive too slowly; if connections are, closes quiet ones. Must be
+    /// called a few times per second.
     void sweep();
 
     std::size_t connections() const { return connections_.size(); }
     /// Connections that could not be accepted, each followed by a short pause.
     std::uint64_t accept_failures() const { return accept_failures_; }
+    /// Connections closed at once, because there was no socket or memory for
+    /// them.
+    std::uint64_t refused_connections() const { return refused_connections_; }
+    /// Quiet connections closed to make room for others.
+    std::uint64_t closed_for_room() const { return closed_for_room_; }
     /// Requests refused before they were read completely because memory was
     /// short.
     std::uint64_t memory_refusals() const { return memory_refusals_; }
@@ -100,16 +106,21 @@
     /// Refuses incomplete requests that make little progress, those first that
     /// hold the most for the longest, until memory is not short any more.
     void relieve_memory(time_point now);
+    /// Closes connections on which nothing is in progress, those first that
+    /// have been quiet for the longest, until there is room for others.
+    void relieve_connections(time_point now);
+    std::size_t connection_shortage() const;
 
     asio::io_context& loop_;
     clock const& time_;
     request_handler& handler_;
-    std::unique_ptr<process_budget> own_budget_; ///< if none was given
-    process_budget& budget_;
+    budget_reference budget_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer accept_timer_;
     std::uint64_t accept_failures_ = 0;
     std::uint64_t memory_refusals_ = 0;
+    std::uint64_t refused_connections_ = 0;
+    std::uint64_t closed_for_room_ = 0;
     serving::edge_limits limits_;
     bool closing_ = false;
     exchange_id last_exchange_ = 0;
--- a/eventloop/include/eventloop/process_budget.hpp
+++ b/eventloop/include/eventloop/process_budget.hpp
@@ -3,6 +3,7 @@
 #define KUMQUATRAMP_EVENTLOOP_PROCESS_BUDGET_HPP
 
 #include <eventloop/memory_ledger.hpp>
+#include <eventloop/socket_budget.hpp>
 
 namespace kumquatramp::eventloop
 {
@@ -11,6 +12,7 @@
 struct process_budget
 {
     memory_ledger memory;
+    socket_budget sockets;
 };
 
 } // namespace kumquatramp::eventloop
--- a/eventloop/include/eventloop/upstream_pool.hpp
+++ b/eventloop/include/eventloop/upstream_pool.hpp
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <base/clock.hpp>
 #include <cstdint>
+#include <eventloop/budget_reference.hpp>
 #include <memory>
 #include <serving/engine_port.hpp>
 #include <string>
@@ -92,8 +93,10 @@
 class upstream_pool
 {
 public:
+    /// `budget` must outlive the pool; without one the number of connections
+    /// is limited by the orders only.
     upstream_pool(asio::io_context& loop, clock const& time,
-                  upstream_client& client);
+                  upstream_client& client, process_budget* budget = nullptr);
     ~upstream_pool();
 
     /// Sends a request on an idle connection that the order does not exclude,
@@ -141,7 +144,12 @@
     target_pool& pool_for(std::shared_ptr<serving::target> const& to);
     void dispatch(target_pool& pool);
     void adjust_connections(target_pool& pool);
-    void open(target_pool& pool, pending_send order);
+    /// Opens a connection, for `order` if it has a target, else in advance of
+    /// need. Returns false and leaves the order if no socket is left.
+    bool open(target_pool& pool, pending_send& order);
+    /// Closes the connection that has been idle for the longest, of any target.
+    /// Returns whether there was one.
+    bool close_idle_connection();
     void handle_connection_lost(std::string const& target_id);
     void handle_connected(std::string const& target_id);
     void handle_connect_failed(std::string const& target_id);
@@ -159,6 +167,7 @@
     asio::io_context& loop_;
     clock const& time_;
     upstream_client& client_;
+    budget_reference budget_;
     std::unordered_map<std::string, std::unique_ptr<target_pool>> target_pools_;
     std::unordered_map<serving::attempt_handle, upstream_connection*>
         connection_by_attempt_;
--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -39,7 +39,8 @@
     , socket_(std::move(socket))
     , reader_(message_reader::kind::request, server.limits_.header_bytes,
               server.limits_.body_bytes)
-    , charge_(server.budget_.memory)
+    , slot_(server.budget_->sockets, socket_use::client)
+    , charge_(server.budget_->memory)
     , phase_start_(server.time_.now())
     , last_byte_time_(phase_start_)
 {
@@ -160,6 +161,13 @@
            static_cast<double>(request_received_) < min_bytes_per_s * age_s;
 }
 
+duration server_connection::quiet_time(time_point now) const
+{
+    return closed_ || exchange_ != 0 || writing_
+               ? duration::zero()
+               : now - std::max(phase_start_, last_byte_time_);
+}
+
 void server_connection::refuse_for_memory()
 {
     ++server_.memory_refusals_;
@@ -370,6 +378,7 @@
     socket_.close(ignored);
     drop_input();
     charge_.resize(0);
+    slot_.release();
 }
 
 void server_connection::close()
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -7,6 +7,7 @@
 #include <eventloop/http_server.hpp>
 #include <eventloop/memory_ledger.hpp>
 #include <eventloop/message_reader.hpp>
+#include <eventloop/socket_budget.hpp>
 #include <memory>
 #include <string>
 
@@ -21,9 +22,9 @@
 public:
     server_connection(http_server& server, asio::ip::tcp::socket socket);
 
-    /// Whether the process has the memory for one more connection. Otherwise it
-    /// must not be started.
-    bool has_memory() const { return charge_.bytes() != 0; }
+    /// Whether the process has a socket and the memory for this connection.
+    /// Otherwise it must not be started.
+    bool within_budget() const { return slot_.taken() && charge_.bytes() != 0; }
     void start();
     /// Sends the rejection response for `kind` and ends the connection.
     void refuse(error_kind kind);
@@ -46,6 +47,10 @@
     /// Time since the first byte of the request being received.
     duration request_age(time_point now) const { return now - phase_start_; }
 
+    /// Time since the last byte from or to the client; zero while a request is
+    /// in progress or a response is being written.
+    duration quiet_time(time_point now) const;
+
     /// Whether part of a response has not been written to the socket yet.
     bool is_writing() const { return writing_ && !closed_; }
 
@@ -74,6 +79,7 @@
     http_server& server_;
     asio::ip::tcp::socket socket_;
     message_reader reader_;
+    socket_slot slot_;
     memory_charge charge_; ///< connection, request being received, pending_
     std::string pending_;  ///< received but not parsed yet
     std::string unsent_;   ///< being written by async_write
--- a/eventloop/src/details/upstream_connection.cpp
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -37,6 +37,7 @@
     , target_id_(std::move(target_id))
     , id_(id)
     , socket_(pool.loop_)
+    , slot_(pool.budget_->sockets, socket_use::target)
     , reader_(message_reader::kind::response, max_response_header_bytes,
               max_response_body_bytes)
     , state_since_(pool.time_.now())
@@ -341,17 +342,23 @@
     return attempt;
 }
 
+void upstream_connection::release()
+{
+    state_ = state::closed;
+    asio::error_code ignored;
+    socket_.close(ignored);
+    slot_.release();
+}
+
 void upstream_connection::close()
 {
     if (state_ == state::closed)
     {
         return;
     }
-    state_ = state::closed;
     pool_.buffered_bytes_ -= buffered_bytes_;
     buffered_bytes_ = 0;
-    asio::error_code ignored;
-    socket_.close(ignored);
+    release();
     pool_.remove_connection(this);
 }
 
--- a/eventloop/src/details/upstream_connection.hpp
+++ b/eventloop/src/details/upstream_connection.hpp
@@ -6,6 +6,7 @@
 #include <base/time.hpp>
 #include <eventloop/message_reader.hpp>
 #include <eventloop/outgoing_request.hpp>
+#include <eventloop/socket_budget.hpp>
 #include <eventloop/upstream_pool.hpp>
 #include <memory>
 #include <optional>
@@ -44,6 +45,8 @@
     void time_out_connect();
     /// Closes without reporting an outcome for the order.
     void close();
+    /// Closes the socket without a word to the pool.
+    void release();
 
     state current_state() const { return state_; }
     /// When the current state was entered.
@@ -73,6 +76,7 @@
     std::string target_id_;
     serving::connection_id id_;
     asio::ip::tcp::socket socket_;
+    socket_slot slot_;
     message_reader reader_;
     upstream_pool::pending_send current_send_;
     bool has_current_send_ = false;
--- a/eventloop/src/http_server.cpp
+++ b/eventloop/src/http_server.cpp
@@ -20,6 +20,9 @@
 /// which count as this process's memory while they are unread.
 constexpr int receive_buffer_bytes = 16384;
 
+/// A connection is not closed to make room for others before this.
+constexpr duration min_quiet_time = 1s;
+
 } // namespace
 
 http_server::http_server(asio::io_context& loop, clock const& time,
@@ -27,9 +30,7 @@
     : loop_(loop)
     , time_(time)
     , handler_(handler)
-    , own_budget_(budget == nullptr ? std::make_unique<process_budget>()
-                                    : nullptr)
-    , budget_(budget == nullptr ? *own_budget_ : *budget)
+    , budget_(budget)
     , acceptor_(loop)
     , accept_timer_(loop)
 {
@@ -92,9 +93,9 @@
     bool const full = connections_.size() >= limits_.connections;
     auto connection =
         std::make_shared<server_connection>(*this, std::move(socket));
-    if (!connection->has_memory())
+    if (!connection->within_budget())
     {
-        ++memory_refusals_;
+        ++refused_connections_;
         return;
     }
     connections_.emplace(connection.get(), connection);
@@ -132,10 +133,14 @@
     {
         connection->sweep(now, limits_);
     }
-    if (budget_.memory.is_short())
+    if (budget_->memory.is_short())
     {
         relieve_memory(now);
     }
+    if (connection_shortage() > 0)
+    {
+        relieve_connections(now);
+    }
 }
 
 void http_server::relieve_memory(time_point now)
@@ -162,7 +167,7 @@
               { return a.weight > b.weight; });
     for (auto const& c : candidates)
     {
-        if (budget_.memory.shortage() == 0)
+        if (budget_->memory.shortage() == 0)
         {
             return;
         }
@@ -170,6 +175,44 @@
     }
 }
 
+std::size_t http_server::connection_shortage() const
+{
+    std::size_t const most = limits_.connections - limits_.connections / 10;
+    return std::max(budget_->sockets.client_shortage(),
+                    connections_.size() - std::min(connections_.size(), most));
+}
+
+void http_server::relieve_connections(time_point now)
+{
+    struct candidate
+    {
+        server_connection* connection;
+        duration quiet;
+    };
+    std::vector<candidate> candidates;
+    for (auto const& [raw, connection] : connections_)
+    {
+        if (auto const quiet = connection->quiet_time(now);
+            quiet >= min_quiet_time)
+        {
+            candidates.push_back({raw, quiet});
+        }
+    }
+    std::size_t const count =
+        std::min(connection_shortage(), candidates.size());
+    std::partial_sort(candidates.begin(),
+                      candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                      candidates.end(),
+                      [](candidate const& a, candidate const& b)
+                      { return a.quiet > b.quiet; });
+    candidates.resize(count);
+    for (auto const& c : candidates)
+    {
+        ++closed_for_room_;
+        c.connection->close();
+    }
+}
+
 std::size_t http_server::unfinished_responses() const
 {
     return exchanges_.size() +
--- a/eventloop/src/upstream_pool.cpp
+++ b/eventloop/src/upstream_pool.cpp
@@ -46,14 +46,25 @@
 };
 
 upstream_pool::upstream_pool(asio::io_context& loop, clock const& time,
-                             upstream_client& client)
+                             upstream_client& client, process_budget* budget)
     : loop_(loop)
     , time_(time)
     , client_(client)
+    , budget_(budget)
 {
 }
 
-upstream_pool::~upstream_pool() = default;
+upstream_pool::~upstream_pool()
+{
+    // The event loop may hold connections for longer than the pool exists.
+    for (auto const& [id, pool] : target_pools_)
+    {
+        for (auto const& c : pool->connections)
+        {
+            c->release();
+        }
+    }
+}
 
 upstream_pool::target_pool&
 upstream_pool::pool_for(std::shared_ptr<serving::target> const& to)
@@ -139,19 +150,49 @@
         {
             return;
         }
-        pending_send order = std::move(first);
+        if (!open(pool, first))
+        {
+            return;
+        }
         pool.waiting.pop_front();
-        open(pool, std::move(order));
     }
 }
 
-void upstream_pool::open(target_pool& pool, pending_send order)
+bool upstream_pool::close_idle_connection()
 {
+    upstream_connection* oldest = nullptr;
+    for (auto const& [id, pool] : target_pools_)
+    {
+        for (auto const& c : pool->connections)
+        {
+            if (c->current_state() == state::idle &&
+                (oldest == nullptr || c->state_since() < oldest->state_since()))
+            {
+                oldest = c.get();
+            }
+        }
+    }
+    if (oldest == nullptr)
+    {
+        return false;
+    }
+    oldest->close();
+    return true;
+}
+
+bool upstream_pool::open(target_pool& pool, pending_send& order)
+{
+    bool const needed = order.order.to != nullptr;
+    auto const use = needed ? socket_use::target : socket_use::warm_target;
+    if (!budget_->sockets.has_room(use) && !(needed && close_idle_connection()))
+    {
+        return false;
+    }
     auto connection = std::make_shared<upstream_connection>(
         *this, pool.to->record.id, ++opened_);
     pool.connections.push_back(connection);
     auto const address = parse_endpoint(pool.to->record.address);
-    if (order.order.to)
+    if (needed)
     {
         connection_by_attempt_[order.order.attempt] = connection.get();
         connection->connect(address, std::move(order));
@@ -160,6 +201,7 @@
     {
         connection->connect(address, std::nullopt);
     }
+    return true;
 }
 
 void upstream_pool::keep(std::shared_ptr<serving::target> const& to,
@@ -188,9 +230,9 @@
         return;
     }
     pool.next_warm_up = now + warm_up_interval;
-    while (pool.connections.size() < pool.warm)
+    pending_send none;
+    while (pool.connections.size() < pool.warm && open(pool, none))
     {
-        open(pool, {});
     }
 }
 
--- a/eventloop/tests/server_fixture.hpp
+++ b/eventloop/tests/server_fixture.hpp
@@ -29,8 +29,10 @@
 
 struct server_fixture : request_handler
 {
-    explicit server_fixture(std::size_t memory = memory_ledger::unlimited)
-        : budget{.memory = memory_ledger(memory)}
+    explicit server_fixture(std::size_t memory = memory_ledger::unlimited,
+                            std::size_t sockets = socket_budget::unlimited)
+        : budget{.memory = memory_ledger(memory),
+                 .sockets = socket_budget(sockets)}
     {
         asio::ip::tcp::acceptor free_port(
             loop, {asio::ip::make_address("127.0.0.1"), 0});
@@ -69,9 +71,9 @@
         }
     }
 
+    process_budget budget;
     asio::io_context loop{1};
     manual_clock time;
-    process_budget budget;
     http_server server{loop, time, *this, &budget};
     asio::ip::tcp::endpoint at;
     std::vector<std::string> targets;
--- a/eventloop/tests/upstream_pool_test.cpp
+++ b/eventloop/tests/upstream_pool_test.cpp
@@ -5,6 +5,7 @@
 #include <eventloop/boot_clock.hpp>
 #include <eventloop/http_message.hpp>
 #include <eventloop/outgoing_request.hpp>
+#include <eventloop/process_budget.hpp>
 #include <eventloop/upstream_pool.hpp>
 #include <map>
 #include <optional>
@@ -29,8 +30,9 @@
 
 struct fixture : upstream_client
 {
-    fixture()
-        : acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0})
+    explicit fixture(std::size_t sockets = socket_budget::unlimited)
+        : budget{.memory = memory_ledger(), .sockets = socket_budget(sockets)}
+        , acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0})
     {
         to->record.id = "t1";
         to->record.address =
@@ -113,10 +115,11 @@
         return ends.at(attempt).outcome;
     }
 
+    process_budget budget;
     asio::io_context loop{1};
     boot_clock time;
     asio::ip::tcp::acceptor acceptor;
-    upstream_pool pool{loop, time, *this};
+    upstream_pool pool{loop, time, *this, &budget};
     std::shared_ptr<serving::target> to = std::make_shared<serving::target>();
     std::map<serving::attempt_handle, attempt_end> ends;
     bool wanted = true;
@@ -474,6 +477,33 @@
     CHECK(f.pool.stats().open == 0);
 }
 
+// Guards against a lack of descriptors that counts as failures of targets.
+TEST_CASE("a request waits for a socket, and takes that of an idle connection")
+{
+    constexpr std::size_t one_for_targets = 33;
+    fixture f(one_for_targets);
+    auto target = start_and_accept(f, 1);
+    f.start(2);
+    CHECK_FALSE(f.accept(30));
+    CHECK(f.ends.empty());
+    target.send(ok("first"));
+    CHECK(f.outcome(1) == send_outcome::answered);
+    target.clear();
+    target.receive_until(f.loop, "/2 ");
+    target.send(ok("second"));
+    CHECK(f.outcome(2) == send_outcome::answered);
+
+    auto const other = std::make_shared<serving::target>();
+    other->record = f.to->record;
+    other->record.id = "t2";
+    f.to = other;
+    auto const second = start_and_accept(f, 3);
+    f.run(5);
+    target.read_available();
+    CHECK(target.peer_closed());
+    CHECK(f.budget.sockets.open() == 1);
+}
+
 TEST_CASE("a body is shared with the connection and written whole")
 {
     fixture f;
--- a/host/include/host/machine_limits.hpp
+++ b/host/include/host/machine_limits.hpp
@@ -12,6 +12,8 @@
     /// Memory of the process, including what it has received and not read yet.
     /// The default is that of the smallest machines.
     std::size_t memory_mb = 112;
+    /// Descriptors that the process may have open; 0: its resource limit.
+    std::size_t max_fds = 0;
 };
 
 /// The part of the memory that requests and responses may use, in bytes. The
@@ -19,6 +21,9 @@
 /// and what the allocator cannot reuse.
 std::size_t request_memory(machine_limits const& machine);
 
+/// Number of sockets that the process may have open; files have the rest.
+std::size_t socket_count(machine_limits const& machine);
+
 } // namespace kumquatramp::host
 
 #endif
--- a/host/src/endpoint.cpp
+++ b/host/src/endpoint.cpp
@@ -21,6 +21,13 @@
     server_.listen(eventloop::parse_endpoint(address));
 }
 
+void endpoint::set_max_connections(std::size_t count)
+{
+    serving::edge_limits limits;
+    limits.connections = count;
+    server_.set_limits(limits);
+}
+
 void endpoint::on_request(eventloop::exchange_id exchange,
                           eventloop::http_message& message)
 {
--- a/host/src/endpoint.hpp
+++ b/host/src/endpoint.hpp
@@ -29,6 +29,7 @@
 
     /// Throws std::system_error if the address cannot be bound.
     void listen(std::string const& address);
+    void set_max_connections(std::size_t count);
     void sweep() { server_.sweep(); }
 
     void on_request(eventloop::exchange_id exchange,
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -49,7 +49,7 @@
     , targets_(targets)
     , memory_(budget.memory)
     , server_(loop, time, *this, &budget)
-    , pool_(loop, time, *this)
+    , pool_(loop, time, *this, &budget)
     , engine_(options, random, targets, fleet, warmup, *this)
     , timer_(loop)
 {
--- a/host/src/host_settings.cpp
+++ b/host/src/host_settings.cpp
@@ -15,8 +15,9 @@
 namespace
 {
 
-/// Least memory with which a host can serve.
+/// Least memory and descriptors with which a host can serve.
 constexpr std::size_t min_memory_mb = 32;
+constexpr std::size_t min_max_fds = 400;
 constexpr double max_whole_number = 1e9;
 
 using ini_entries = std::map<std::string, std::string>;
@@ -92,6 +93,10 @@
     std::size_t whole_number(std::string const& key, std::size_t default_value,
                              std::size_t least)
     {
+        if (optional_text(key).empty())
+        {
+            return default_value;
+        }
         double const value = number(key, static_cast<double>(default_value));
         if (value < static_cast<double>(least) || value > max_whole_number ||
             value != std::floor(value))
@@ -148,6 +153,8 @@
     s.cpu_share = read.number("host.cpu_share", s.cpu_share);
     s.machine.memory_mb =
         read.whole_number("host.memory_mb", machine.memory_mb, min_memory_mb);
+    s.machine.max_fds =
+        read.whole_number("host.max_fds", machine.max_fds, min_max_fds);
     s.clients = read.text("listen.clients");
     s.readiness = read.optional_text("listen.readiness");
     s.control = read.optional_text("listen.control");
--- a/host/src/machine_limits.cpp
+++ b/host/src/machine_limits.cpp
@@ -1,6 +1,7 @@
 // Shares of a machine.
 #include <algorithm>
 #include <host/machine_limits.hpp>
+#include <sys/resource.h>
 
 namespace kumquatramp::host
 {
@@ -15,6 +16,8 @@
 /// Share of the rest that requests may use: a response is held twice for a
 /// moment, and freed memory is reused only in part.
 constexpr double request_share = 0.8;
+/// Descriptors that are kept for files.
+constexpr std::size_t file_descriptors = 200;
 
 } // namespace
 
@@ -26,4 +29,15 @@
     return static_cast<std::size_t>((all - own) * request_share);
 }
 
+std::size_t socket_count(machine_limits const& machine)
+{
+    std::size_t descriptors = machine.max_fds;
+    rlimit limit{};
+    if (descriptors == 0 && getrlimit(RLIMIT_NOFILE, &limit) == 0)
+    {
+        descriptors = limit.rlim_cur;
+    }
+    return descriptors - std::min(descriptors, file_descriptors);
+}
+
 } // namespace kumquatramp::host
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -17,6 +17,10 @@
 /// have been lost.
 constexpr duration suspension_threshold = 500ms;
 
+/// Connections to readiness, directory and control: one in this many sockets
+/// each, so that they leave room for clients' requests.
+constexpr std::size_t endpoint_socket_part = 8;
+
 /// Share of the drain bound for which changes of the store may be batched.
 constexpr double change_interval_share = 0.12;
 
@@ -52,9 +56,11 @@
     : settings_(std::move(settings))
     , path_(std::move(path))
     , adapter_(adapter)
-    , log_(STDOUT_FILENO, settings_.name, time_)
     , budget_{.memory =
-                  eventloop::memory_ledger(request_memory(settings_.machine))}
+                  eventloop::memory_ledger(request_memory(settings_.machine)),
+              .sockets =
+                  eventloop::socket_budget(socket_count(settings_.machine))}
+    , log_(STDOUT_FILENO, settings_.name, time_)
     , fleet_({.ip = settings_.ip,
               .zone = settings_.zone,
               .incarnation = unix_ms(),
@@ -103,6 +109,11 @@
 
 void query_host::details::listen()
 {
+    for (auto* const e : {&readiness_, &directory_, &control_})
+    {
+        e->set_max_connections(socket_count(settings_.machine) /
+                               endpoint_socket_part);
+    }
     front_.server().listen(eventloop::parse_endpoint(settings_.clients));
     if (!settings_.readiness.empty())
     {
--- a/host/src/query_host_details.hpp
+++ b/host/src/query_host_details.hpp
@@ -79,10 +79,10 @@
     platform_adapter& adapter_;
     eventloop::boot_clock time_;
     time_point started_ = time_.now();
+    eventloop::process_budget budget_; // outlives what loop_ holds
     asio::io_context loop_{1};
     seeded_random random_{std::random_device{}()};
     host_log log_;
-    eventloop::process_budget budget_;
     fleet::fleet_view fleet_;
     serving::target_table targets_;
     serving::warmup_share warmup_;
--- a/host/tests/front_fixture.cpp
+++ b/host/tests/front_fixture.cpp
@@ -99,9 +99,10 @@
 }
 
 front_fixture::front_fixture(int max_connections, std::size_t memory)
-    : wire(test_wire())
+    : budget{.memory = eventloop::memory_ledger(memory),
+             .sockets = eventloop::socket_budget()}
+    , wire(test_wire())
     , log(open("/dev/null", O_WRONLY | O_CLOEXEC), "test", time)
-    , budget{.memory = eventloop::memory_ledger(memory)}
     , table("zone-a", 2s, random, log)
     , front(loop, time, wire, options(), random, table, fleet, warmup, log,
             budget)
--- a/host/tests/front_fixture.hpp
+++ b/host/tests/front_fixture.hpp
@@ -75,11 +75,11 @@
                                              std::string_view text,
                                              int timeout_ms = 2000);
 
+    eventloop::process_budget budget;
     asio::io_context loop{1};
     eventloop::boot_clock time;
     wire_profile wire;
     host_log log;
-    eventloop::process_budget budget;
     seeded_random random{1};
     single_host_fleet fleet;
     serving::target_table table;
--- a/host/tests/host_settings_test.cpp
+++ b/host/tests/host_settings_test.cpp
@@ -57,7 +57,7 @@
 
 TEST_CASE("the machine's limits come from the file or else from its caller")
 {
-    machine_limits const machine{.memory_mb = 182};
+    machine_limits const machine{.memory_mb = 182, .max_fds = 2870};
     CHECK(parse_settings(valid_settings).value().machine.memory_mb == 112);
     CHECK(parse_settings(valid_settings, machine).value().machine.memory_mb ==
           182);
@@ -65,6 +65,11 @@
     CHECK(parse_settings(text + "memory_mb = 64\n", machine)
               .value()
               .machine.memory_mb == 64);
+    CHECK(parse_settings(valid_settings, machine).value().machine.max_fds ==
+          2870);
+    CHECK(parse_settings(text + "max_fds = 1000\n").value().machine.max_fds ==
+          1000);
+    CHECK_FALSE(parse_settings(text + "max_fds = 200\n"));
     for (char const* const bad : {"8", "0", "64.5", "1e12", "much"})
     {
         CAPTURE(bad);
@@ -72,6 +77,12 @@
     }
 }
 
+TEST_CASE("files keep their part of the descriptors")
+{
+    CHECK(socket_count({.max_fds = 2870}) == 2670);
+    CHECK(socket_count({.max_fds = 0}) > 0);
+}
+
 // A host must fit into its machine beside the requests that it holds.
 TEST_CASE("requests may use a part of the machine's memory")
 {
