Bound the memory of answers and of parts that wait for their merge

Cause: responses being read from targets had a bound of their own, answers that are written to clients and parts that wait for the others had none. A response was also copied for what the socket had not taken, and strings that were emptied by assignment kept their memory, so that parts stayed until their request was erased.

All three are charged to the process's ledger: responses from targets fail as before when there is no room, the largest first, up to 16 KB always pass; while memory is short, a connection is closed whose client has taken nothing of its answer for 5 s, the largest first. Unit tests: "memory that is short is taken from a response that is not read", "the engine states what it holds for requests in progress".

--- a/eventloop/include/eventloop/http_server.hpp
+++ b/eventloop/include/eventloop/http_server.hpp
@@ -103,9 +103,15 @@
     friend class server_connection;
     void accept();
     void add_connection(asio::ip::tcp::socket socket);
-    /// Refuses incomplete requests that make little progress, those first that
-    /// hold the most for the longest, until memory is not short any more.
+    /// Until memory is not short any more, gives up clients that make little
+    /// progress: first requests that are incomplete, then responses that are
+    /// not read.
     void relieve_memory(time_point now);
+    /// Refuses incomplete requests, those first that hold the most for the
+    /// longest.
+    void refuse_slow_requests(time_point now);
+    /// Closes connections with unread responses, the largest first.
+    void close_unread(time_point now);
     /// Closes connections on which nothing is in progress, those first that
     /// have been quiet for the longest, until there is room for others.
     void relieve_connections(time_point now);
--- a/eventloop/include/eventloop/upstream_pool.hpp
+++ b/eventloop/include/eventloop/upstream_pool.hpp
@@ -160,9 +160,11 @@
                          serving::connection_id connection);
     void post_not_sent(serving::attempt_handle attempt, char const* cause);
     void remove_connection(upstream_connection* connection);
-    /// Whether responses in progress take too much memory and this connection
-    /// holds at least an average part of it.
-    bool exceeds_memory(std::size_t buffered_by_connection) const;
+    /// Whether responses in progress take too much memory, or the process has
+    /// no room for this one, and this connection holds at least an average part
+    /// of it.
+    bool exceeds_memory(std::size_t buffered_by_connection,
+                        bool has_room) const;
 
     asio::io_context& loop_;
     clock const& time_;
@@ -172,7 +174,7 @@
     std::unordered_map<serving::attempt_handle, upstream_connection*>
         connection_by_attempt_;
     std::uint64_t opened_ = 0;
-    /// Sum of the connections' buffered_bytes_.
+    /// Sum of the connections' charges for responses.
     std::size_t buffered_bytes_ = 0;
 };
 
--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -2,8 +2,8 @@
 #include "details/server_connection.hpp"
 #include "details/read_buffer.hpp"
 #include <algorithm>
-#include <asio/write.hpp>
 #include <base/error_answer.hpp>
+#include <base/string_memory.hpp>
 #include <eventloop/process_budget.hpp>
 #include <eventloop/socket_options.hpp>
 
@@ -30,6 +30,9 @@
 constexpr duration min_slow_age = 1s;
 constexpr duration max_quiet_time = 1s;
 constexpr double min_bytes_per_s = 16384;
+/// While memory is short, a connection is closed whose client has taken nothing
+/// of its response for this long.
+constexpr duration max_unread_time = 5s;
 
 } // namespace
 
@@ -41,8 +44,10 @@
               server.limits_.body_bytes)
     , slot_(server.budget_->sockets, socket_use::client)
     , charge_(server.budget_->memory)
+    , unsent_charge_(server.budget_->memory)
     , phase_start_(server.time_.now())
     , last_byte_time_(phase_start_)
+    , last_write_time_(phase_start_)
 {
     charge_.try_resize(connection_bytes, memory_use::small);
 }
@@ -143,7 +148,7 @@
 {
     std::size_t const request = request_bytes();
     return charge_.try_resize(
-        connection_bytes + request + pending_.capacity(),
+        connection_bytes + request + heap_bytes(pending_),
         request > small_request_bytes ? memory_use::large : memory_use::small);
 }
 
@@ -161,6 +166,11 @@
            static_cast<double>(request_received_) < min_bytes_per_s * age_s;
 }
 
+bool server_connection::writes_stalled(time_point now) const
+{
+    return writing_ && !closed_ && now - last_write_time_ >= max_unread_time;
+}
+
 duration server_connection::quiet_time(time_point now) const
 {
     return closed_ || exchange_ != 0 || writing_
@@ -233,7 +243,7 @@
         server_.exchanges_.emplace(exchange_, this);
         close_after_response_ = !reader_.message().keep_alive;
         // From here on the handler accounts for the request.
-        charge_.resize(connection_bytes + pending_.capacity());
+        charge_.resize(connection_bytes + heap_bytes(pending_));
         server_.handler_.on_request(exchange_, reader_.message());
         if (exchange_ != 0)
         {
@@ -255,7 +265,7 @@
 void server_connection::drop_input()
 {
     reader_.reset();
-    pending_ = {};
+    free_memory(pending_);
     charge_.resize(std::min(charge_.bytes(), connection_bytes));
 }
 
@@ -281,35 +291,60 @@
     {
         return;
     }
+    unsent_ = std::move(bytes);
+    sent_ = 0;
+    last_write_time_ = server_.time_.now();
+    flush();
+}
+
+void server_connection::flush()
+{
     asio::error_code failed;
-    std::size_t const sent = socket_.write_some(asio::buffer(bytes), failed);
+    std::size_t const size = socket_.write_some(
+        asio::buffer(unsent_.data() + sent_, unsent_.size() - sent_), failed);
     if (failed && failed != asio::error::would_block)
     {
         close();
         return;
     }
-    if (sent == bytes.size())
+    sent_ += size;
+    if (size > 0)
+    {
+        last_write_time_ = server_.time_.now();
+    }
+    if (sent_ == unsent_.size())
     {
+        drop_output();
         after_write();
         return;
     }
-    unsent_ = bytes.substr(sent);
     writing_ = true;
-    asio::async_write(
-        socket_, asio::buffer(unsent_),
-        [self = shared_from_this()](asio::error_code const& e, std::size_t)
-        {
-            self->writing_ = false;
-            if (e)
-            {
-                self->close();
-                return;
-            }
-            self->unsent_.clear();
-            self->after_write();
-            self->process();
-            self->wait_readable();
-        });
+    unsent_charge_.resize(unsent_.capacity());
+    socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                       [self = shared_from_this()](asio::error_code const& e)
+                       {
+                           if (!e && !self->closed_)
+                           {
+                               self->continue_write();
+                           }
+                       });
+}
+
+void server_connection::continue_write()
+{
+    flush();
+    if (!writing_ && !closed_)
+    {
+        process();
+        wait_readable();
+    }
+}
+
+void server_connection::drop_output()
+{
+    writing_ = false;
+    free_memory(unsent_);
+    unsent_charge_.resize(0);
 }
 
 void server_connection::after_write()
@@ -377,6 +412,7 @@
     asio::error_code ignored;
     socket_.close(ignored);
     drop_input();
+    drop_output();
     charge_.resize(0);
     slot_.release();
 }
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -47,6 +47,9 @@
     /// Time since the first byte of the request being received.
     duration request_age(time_point now) const { return now - phase_start_; }
 
+    /// Whether the client has taken nothing of its response for some time.
+    bool writes_stalled(time_point now) const;
+    std::size_t unsent_bytes() const { return unsent_charge_.bytes(); }
     /// Time since the last byte from or to the client; zero while a request is
     /// in progress or a response is being written.
     duration quiet_time(time_point now) const;
@@ -74,6 +77,10 @@
     void drop_input();
     bool is_overdue(time_point now, serving::edge_limits const& limits) const;
     void write(std::string bytes);
+    /// Writes what the socket takes of unsent_ and waits to write the rest.
+    void flush();
+    void continue_write();
+    void drop_output();
     void after_write();
 
     http_server& server_;
@@ -82,10 +89,12 @@
     socket_slot slot_;
     memory_charge charge_; ///< connection, request being received, pending_
     std::string pending_;  ///< received but not parsed yet
-    std::string unsent_;   ///< being written by async_write
+    std::string unsent_;   ///< response being written
+    std::size_t sent_ = 0; ///< bytes of unsent_ that have been written
+    memory_charge unsent_charge_;
     exchange_id exchange_ = 0;
     bool processing_ = false;
-    bool writing_ = false;
+    bool writing_ = false;           ///< waits to write the rest of unsent_
     bool read_wait_pending_ = false; ///< an async_wait for input is pending
     bool close_after_response_ = false;
     bool lingering_ = false; ///< send side shut down; input is discarded
@@ -94,6 +103,7 @@
     time_point phase_start_; ///< start of the current phase: idle, receiving a
                              ///< request, writing a response, lingering
     time_point last_byte_time_;
+    time_point last_write_time_;       ///< of a byte that the client took
     std::size_t request_received_ = 0; ///< bytes of the present request
 };
 
--- a/eventloop/src/details/upstream_connection.cpp
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <asio/write.hpp>
+#include <base/string_memory.hpp>
 #include <charconv>
 #include <eventloop/socket_options.hpp>
 
@@ -22,6 +23,9 @@
 constexpr std::size_t max_response_bytes =
     max_response_header_bytes + 2 * max_response_body_bytes;
 
+/// A larger response leaves memory to smaller ones.
+constexpr std::size_t small_response_bytes = 16U << 10U;
+
 /// Idle limit of a connection whose target has sent no Keep-Alive timeout.
 constexpr duration default_idle_limit = 10s;
 /// Factor applied to the Keep-Alive timeout that a target announces: part of it
@@ -38,6 +42,7 @@
     , id_(id)
     , socket_(pool.loop_)
     , slot_(pool.budget_->sockets, socket_use::target)
+    , response_charge_(pool.budget_->memory)
     , reader_(message_reader::kind::response, max_response_header_bytes,
               max_response_body_bytes)
     , state_since_(pool.time_.now())
@@ -159,7 +164,8 @@
         [self = shared_from_this()](asio::error_code const& e, std::size_t)
         {
             self->writing_ = false;
-            self->outgoing_ = {};
+            free_memory(self->outgoing_.head);
+            self->outgoing_.body.reset();
             if (e && self->state_ != state::closed)
             {
                 self->on_stream_end(false);
@@ -246,9 +252,19 @@
 {
     response_bytes_ += received;
     std::size_t const kept = reader_.buffered_bytes();
-    pool_.buffered_bytes_ += kept - buffered_bytes_;
-    buffered_bytes_ = kept;
-    return response_bytes_ <= max_response_bytes && !pool_.exceeds_memory(kept);
+    pool_.buffered_bytes_ += kept - response_charge_.bytes();
+    bool const has_room = response_charge_.try_resize(
+        kept,
+        kept > small_response_bytes ? memory_use::large : memory_use::small);
+    response_charge_.resize(kept);
+    return response_bytes_ <= max_response_bytes &&
+           !pool_.exceeds_memory(kept, has_room);
+}
+
+void upstream_connection::drop_response_charge()
+{
+    pool_.buffered_bytes_ -= response_charge_.bytes();
+    response_charge_.resize(0);
 }
 
 void upstream_connection::on_stream_end(bool orderly, char const* cause)
@@ -335,8 +351,7 @@
 serving::attempt_handle upstream_connection::release_attempt()
 {
     has_current_send_ = false;
-    pool_.buffered_bytes_ -= buffered_bytes_;
-    buffered_bytes_ = 0;
+    drop_response_charge();
     auto const attempt = current_send_.order.attempt;
     current_send_.order.to.reset();
     return attempt;
@@ -347,6 +362,7 @@
     state_ = state::closed;
     asio::error_code ignored;
     socket_.close(ignored);
+    response_charge_.resize(0);
     slot_.release();
 }
 
@@ -356,8 +372,7 @@
     {
         return;
     }
-    pool_.buffered_bytes_ -= buffered_bytes_;
-    buffered_bytes_ = 0;
+    drop_response_charge();
     release();
     pool_.remove_connection(this);
 }
--- a/eventloop/src/details/upstream_connection.hpp
+++ b/eventloop/src/details/upstream_connection.hpp
@@ -4,6 +4,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <base/time.hpp>
+#include <eventloop/memory_ledger.hpp>
 #include <eventloop/message_reader.hpp>
 #include <eventloop/outgoing_request.hpp>
 #include <eventloop/socket_budget.hpp>
@@ -68,6 +69,7 @@
     /// Updates the accounts of the response in progress; false if it exceeds
     /// them.
     bool account(std::size_t received);
+    void drop_response_charge();
     void complete(bool reusable);
     void update_idle_limit(http_message const& answer);
     serving::attempt_handle release_attempt();
@@ -77,12 +79,12 @@
     serving::connection_id id_;
     asio::ip::tcp::socket socket_;
     socket_slot slot_;
+    memory_charge response_charge_; ///< head and body of the response
     message_reader reader_;
     upstream_pool::pending_send current_send_;
     bool has_current_send_ = false;
     bool response_started_ = false;  ///< bytes of the response have arrived
     std::size_t response_bytes_ = 0; ///< received of the response
-    std::size_t buffered_bytes_ = 0; ///< held by its head and body
     bool writing_ = false;      ///< an async_write of the request is pending
     outgoing_request outgoing_; ///< while writing_
     state state_ = state::connecting;
--- a/eventloop/src/http_server.cpp
+++ b/eventloop/src/http_server.cpp
@@ -144,6 +144,36 @@
 }
 
 void http_server::relieve_memory(time_point now)
+{
+    refuse_slow_requests(now);
+    close_unread(now);
+}
+
+void http_server::close_unread(time_point now)
+{
+    std::vector<server_connection*> stalled;
+    for (auto const& [raw, connection] : connections_)
+    {
+        if (connection->writes_stalled(now))
+        {
+            stalled.push_back(raw);
+        }
+    }
+    std::sort(stalled.begin(), stalled.end(),
+              [](server_connection const* a, server_connection const* b)
+              { return a->unsent_bytes() > b->unsent_bytes(); });
+    for (auto* const connection : stalled)
+    {
+        if (budget_->memory.shortage() == 0)
+        {
+            return;
+        }
+        ++closed_for_room_;
+        connection->close();
+    }
+}
+
+void http_server::refuse_slow_requests(time_point now)
 {
     struct candidate
     {
--- a/eventloop/src/message_reader.cpp
+++ b/eventloop/src/message_reader.cpp
@@ -1,5 +1,6 @@
 // Builds an http_message from the callbacks of http_parser.
 #include <algorithm>
+#include <base/string_memory.hpp>
 #include <eventloop/message_reader.hpp>
 #include <string_view>
 
@@ -81,15 +82,14 @@
     parser_.data = this;
     state_ = progress::idle;
     message_.method = {};
-    message_.target.clear();
+    free_memory(message_.target);
     message_.status = 0;
     message_.headers.clear();
     if (message_.headers.capacity() > kept_header_lines)
     {
         message_.headers.shrink_to_fit();
     }
-    message_.body.clear();
-    message_.body.shrink_to_fit();
+    free_memory(message_.body);
     message_.keep_alive = true;
     head_size_ = 0;
     declared_body_bytes_ = 0;
@@ -185,9 +185,7 @@
 
 std::size_t message_reader::buffered_body_bytes() const
 {
-    std::size_t const in_place = std::string().capacity();
-    std::size_t const capacity = message_.body.capacity();
-    return capacity > in_place ? capacity : 0;
+    return heap_bytes(message_.body);
 }
 
 std::size_t message_reader::buffered_bytes() const
--- a/eventloop/src/upstream_pool.cpp
+++ b/eventloop/src/upstream_pool.cpp
@@ -379,9 +379,10 @@
                });
 }
 
-bool upstream_pool::exceeds_memory(std::size_t buffered_by_connection) const
+bool upstream_pool::exceeds_memory(std::size_t buffered_by_connection,
+                                   bool has_room) const
 {
-    return buffered_bytes_ > max_buffered_bytes &&
+    return (buffered_bytes_ > max_buffered_bytes || !has_room) &&
            buffered_by_connection * connection_by_attempt_.size() >=
                buffered_bytes_;
 }
--- a/eventloop/tests/memory_ledger_test.cpp
+++ b/eventloop/tests/memory_ledger_test.cpp
@@ -185,4 +185,32 @@
     CHECK(f.server.connections() == 0);
 }
 
+// Guards against clients that fill a host with answers that they do not read.
+TEST_CASE("memory that is short is taken from a response that is not read")
+{
+    short_of_memory f;
+    f.respond_immediately = false;
+    auto c = f.client();
+    c.send("GET /1 HTTP/1.1\r\n\r\n");
+    f.run(10);
+    f.server.respond(f.open, testing::ok(std::string(8'000'000, 'r')), false);
+    f.run(5);
+    CHECK(f.budget.memory.used() >= 8'000'000);
+    f.pass(4s);
+    f.run(5);
+    CHECK(f.server.connections() == 1);
+    bool const reads = GENERATE(false, true);
+    CAPTURE(reads);
+    for (int i = 0; i < 200 && reads && f.budget.memory.is_short(); ++i)
+    {
+        c.read_available();
+        f.run(1);
+    }
+    f.pass(2s);
+    f.run(5);
+    CHECK(f.server.closed_for_room() == (reads ? 0 : 1));
+    CHECK(f.server.connections() == (reads ? 1 : 0));
+    CHECK(f.budget.memory.used() <= 100'000);
+}
+
 } // namespace kumquatramp::eventloop
--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -111,7 +111,9 @@
     bool account(exchange_state& exchange);
     /// Retry-After of a request that is refused for lack of memory.
     duration memory_retry_after();
-    void arm_timer();
+    /// Accounts for what the engine holds, and arms the timer for its next
+    /// event.
+    void after_engine_call();
     serving::target_reply parse_reply(eventloop::send_outcome outcome,
                                       eventloop::http_message* answer,
                                       char const* cause) const;
@@ -128,6 +130,7 @@
     serving::target_table& targets_;
     service_counters counters_;
     eventloop::memory_ledger& memory_;
+    eventloop::memory_charge engine_charge_; ///< what the engine holds
     eventloop::http_server server_;
     eventloop::upstream_pool pool_;
     serving::request_engine engine_;
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -48,6 +48,7 @@
     , random_(random)
     , targets_(targets)
     , memory_(budget.memory)
+    , engine_charge_(budget.memory)
     , server_(loop, time, *this, &budget)
     , pool_(loop, time, *this, &budget)
     , engine_(options, random, targets, fleet, warmup, *this)
@@ -57,8 +58,9 @@
 
 front_service::~front_service() = default;
 
-void front_service::arm_timer()
+void front_service::after_engine_call()
 {
+    engine_charge_.resize(engine_.held_bytes());
     time_point const due = engine_.next_due();
     if (due >= armed_for_)
     {
@@ -75,14 +77,14 @@
             }
             armed_for_ = never;
             engine_.tick(time_.now());
-            arm_timer();
+            after_engine_call();
         });
 }
 
 void front_service::end_by(time_point end)
 {
     engine_.end_by(end);
-    arm_timer();
+    after_engine_call();
 }
 
 void front_service::sweep()
@@ -178,14 +180,14 @@
     time_point const now = state->arrived_at;
     exchanges_.emplace(exchange, std::move(state));
     engine_.submit(request, now);
-    arm_timer();
+    after_engine_call();
 }
 
 void front_service::on_client_disconnected(eventloop::exchange_id exchange)
 {
     ++counters_.client_disconnects;
     engine_.client_gone(exchange, time_.now());
-    arm_timer();
+    after_engine_call();
 }
 
 std::string front_service::rejection(error_kind kind)
@@ -284,7 +286,7 @@
     engine_.on_reply(attempt, reply, now);
     current_answer_ = nullptr;
     current_reply_ = nullptr;
-    arm_timer();
+    after_engine_call();
 }
 
 void front_service::on_connected(serving::target const& to)
--- a/serving/include/serving/request_engine.hpp
+++ b/serving/include/serving/request_engine.hpp
@@ -86,6 +86,9 @@
     time_point next_due() const;
 
     std::size_t in_progress() const;
+    /// Memory that requests in progress hold here: their state, an estimate,
+    /// and the parts that wait for their merge.
+    std::size_t held_bytes() const;
     engine_counters const& counters() const;
 
     /// The smallest remaining retry budget of all services, in sends; empty
--- a/serving/src/details/engine_admission.cpp
+++ b/serving/src/details/engine_admission.cpp
@@ -177,6 +177,9 @@
                       now, retry_after(wait));
         return;
     }
+    r.held_bytes = sizeof(running_request) +
+                   r.shards.size() * running_request::shard_bytes;
+    held_bytes_ += r.held_bytes;
     auto& running = requests_.emplace(r.handle, std::move(r)).first->second;
     timers_.push(
         {running.deadline, timer_kind::request_expires, running.handle});
--- a/serving/src/details/engine_details.cpp
+++ b/serving/src/details/engine_details.cpp
@@ -223,6 +223,7 @@
     if (found != requests_.end() && found->second.finished &&
         found->second.outstanding == 0)
     {
+        held_bytes_ -= found->second.held_bytes;
         requests_.erase(found);
     }
 }
--- a/serving/src/details/engine_details.hpp
+++ b/serving/src/details/engine_details.hpp
@@ -39,6 +39,7 @@
     time_point end_at_ = never; ///< no request's deadline is later
     timer_queue timers_;
     std::unordered_map<request_handle, running_request> requests_;
+    std::size_t held_bytes_ = 0; ///< sum over requests_
 
 private:
     using shard_state = shard_progress::state;
--- a/serving/src/details/engine_replies.cpp
+++ b/serving/src/details/engine_replies.cpp
@@ -1,6 +1,7 @@
 // Handling of replies: statistics of the target and progress of the request.
 #include "details/engine_details.hpp"
 #include <algorithm>
+#include <base/string_memory.hpp>
 #include <serving/client_answer.hpp>
 #include <serving/fleet_size.hpp>
 #include <serving/target_table.hpp>
@@ -140,6 +141,8 @@
         s.current_state = shard_state::answered;
         s.stamp = std::move(reply.stamp);
         s.part = std::move(reply.body);
+        r.held_bytes += heap_bytes(s.part);
+        held_bytes_ += heap_bytes(s.part);
         try_complete(r, now);
         return;
     }
--- a/serving/src/details/engine_summaries.cpp
+++ b/serving/src/details/engine_summaries.cpp
@@ -1,6 +1,7 @@
 // Summary of a request, logged at its end.
 #include "details/engine_details.hpp"
 #include <base/random_source.hpp>
+#include <base/string_memory.hpp>
 
 namespace kumquatramp::serving
 {
@@ -68,7 +69,9 @@
     }
     for (auto& s : r.shards)
     {
-        s.part = {};
+        r.held_bytes -= heap_bytes(s.part);
+        held_bytes_ -= heap_bytes(s.part);
+        free_memory(s.part);
     }
     port_.release_request(r.handle);
 }
--- a/serving/src/details/running_request.hpp
+++ b/serving/src/details/running_request.hpp
@@ -76,6 +76,9 @@
 
 struct running_request
 {
+    /// Estimate of the memory of one shard's progress, tries and attempts.
+    static constexpr std::size_t shard_bytes = sizeof(shard_progress) + 512;
+
     request_handle handle = 0;
     std::shared_ptr<route_catalogue const> catalogue;
     route const* matched_route = nullptr; // owned by catalogue
@@ -85,6 +88,7 @@
     bool finished = false; ///< answered, or the client disconnected
     int outstanding = 0;   ///< attempts that have not ended
     std::vector<shard_progress> shards;
+    std::size_t held_bytes = 0; ///< see request_engine::held_bytes
 
     request_type type() const
     {
--- a/serving/src/request_engine.cpp
+++ b/serving/src/request_engine.cpp
@@ -90,6 +90,11 @@
     return details_->requests_.size();
 }
 
+std::size_t request_engine::held_bytes() const
+{
+    return details_->held_bytes_;
+}
+
 engine_counters const& request_engine::counters() const
 {
     return details_->counters_;
--- a/serving/tests/request_engine_test.cpp
+++ b/serving/tests/request_engine_test.cpp
@@ -55,6 +55,43 @@
 
 } // namespace
 
+// The memory of a host is bounded by what its engine says that it holds.
+TEST_CASE("the engine states what it holds for requests in progress")
+{
+    ten_shards fixture;
+    CHECK(fixture.engine.held_bytes() == 0);
+    fixture.submit(1, "/all/x");
+    std::size_t const without_parts = fixture.engine.held_bytes();
+    CHECK(without_parts > 0);
+    std::string const silent = fixture.sent.back();
+    std::string const part(100'000, 'p');
+    for (auto const& target : std::vector(fixture.sent))
+    {
+        if (target != silent)
+        {
+            fixture.reply_ok(target, part);
+        }
+    }
+    CHECK(fixture.engine.held_bytes() >= without_parts + 9 * part.size());
+    SECTION("until it is answered")
+    {
+        fixture.reply_ok(silent, part);
+    }
+    SECTION("until its client leaves")
+    {
+        fixture.engine.client_gone(1, fixture.now);
+        CHECK(fixture.engine.held_bytes() <= without_parts);
+        fixture.reply(silent, reply_kind::broken);
+    }
+    SECTION("until its deadline")
+    {
+        fixture.advance(1s);
+        CHECK(fixture.engine.held_bytes() <= without_parts);
+        fixture.reply_all_but();
+    }
+    CHECK(fixture.engine.held_bytes() == 0);
+}
+
 TEST_CASE("a query is answered with the parts of all shards")
 {
     ten_shards fixture;
