Spread the work of a crowd over turns of the event loop

Suspected from the code, shown by a test: 400 requests sent ahead on one connection were worked off in one turn of the loop, and so were the bodies of 12 connections; gossip, the store's watch and readiness waited for that, longest where chunks are tiny and cost far more per byte. Cause: a connection processed all that it had read, and all readable connections one after the other.

A connection now handles 8 requests sent ahead, or 16 KB of a body, and then waits in a queue of which a turn serves 4 connections; small requests are served at once as before. eventloop_tests "requests sent ahead and large bodies leave turns to other work": 400 and 12 before, at most 16 and 4 asked.

--- a/eventloop/include/eventloop/http_server.hpp
+++ b/eventloop/include/eventloop/http_server.hpp
@@ -18,6 +18,7 @@
 
 struct http_message;
 class server_connection;
+class turn_queue;
 
 /// Identifies one request on one connection; never reused.
 using exchange_id = std::uint64_t;
@@ -46,8 +47,9 @@
 };
 
 /// Handles one request at a time on each connection and reads only as far as
-/// the limits allow. Not thread-safe: everything runs on the thread of the
-/// event loop.
+/// the limits allow. Requests sent ahead, and large bodies, are worked off over
+/// several turns of the event loop. Not thread-safe: everything runs on the
+/// thread of the event loop.
 class http_server
 {
 public:
@@ -130,6 +132,7 @@
     serving::edge_limits limits_;
     bool closing_ = false;
     exchange_id last_exchange_ = 0;
+    std::shared_ptr<turn_queue> turns_;
     std::unordered_map<server_connection*, std::shared_ptr<server_connection>>
         connections_;
     std::unordered_map<exchange_id, server_connection*> exchanges_;
--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -1,6 +1,7 @@
 // Reads requests one at a time and writes their responses.
 #include "details/server_connection.hpp"
 #include "details/read_buffer.hpp"
+#include "details/turn_queue.hpp"
 #include <algorithm>
 #include <base/error_answer.hpp>
 #include <base/string_memory.hpp>
@@ -15,6 +16,10 @@
 
 /// Limit on buffered bytes of pipelined requests; reading stops at this size.
 constexpr std::size_t max_pending_bytes = 16384;
+/// Most that one connection does in a turn of the event loop: bytes of a body,
+/// and requests that were sent ahead.
+constexpr std::size_t max_bytes_per_turn = 16384;
+constexpr int max_requests_per_turn = 8;
 /// How long a client may take to close its side after the last response.
 constexpr duration linger_timeout = 1s;
 
@@ -79,10 +84,53 @@
 }
 
 void server_connection::on_readable()
+{
+    // The rest of a body is read over several turns.
+    if (exchange_ == 0 && !lingering_ &&
+        reader_.state() == message_reader::progress::body)
+    {
+        defer();
+        return;
+    }
+    read(read_buffer().size());
+}
+
+void server_connection::defer()
+{
+    if (!deferred_)
+    {
+        deferred_ = true;
+        server_.turns_->push(shared_from_this());
+    }
+}
+
+bool server_connection::has_work() const
+{
+    return exchange_ == 0 && !writing_ && !close_after_response_ &&
+           !pending_.empty();
+}
+
+void server_connection::resume()
+{
+    deferred_ = false;
+    if (closed_)
+    {
+        return;
+    }
+    if (has_work())
+    {
+        process();
+        wait_readable();
+        return;
+    }
+    read(max_bytes_per_turn);
+}
+
+void server_connection::read(std::size_t limit)
 {
     auto& buffer = read_buffer();
     std::size_t const room =
-        reads_ahead() ? max_pending_bytes - pending_.size() : buffer.size();
+        reads_ahead() ? max_pending_bytes - pending_.size() : limit;
     asio::error_code failed;
     std::size_t const size =
         socket_.read_some(asio::buffer(buffer, room), failed);
@@ -201,15 +249,21 @@
 
 void server_connection::process()
 {
-    if (processing_)
+    if (processing_ || deferred_)
     {
         return;
     }
     processing_ = true;
     auto const self = shared_from_this();
+    int handled = 0;
     while (exchange_ == 0 && !closed_ && !close_after_response_ && !writing_)
     {
         using progress = message_reader::progress;
+        if (handled == max_requests_per_turn && has_work())
+        {
+            defer();
+            break;
+        }
         if (reader_.state() < progress::complete && !pending_.empty())
         {
             std::size_t const used = feed(pending_);
@@ -239,6 +293,7 @@
             }
             break;
         }
+        ++handled;
         exchange_ = ++server_.last_exchange_;
         server_.exchanges_.emplace(exchange_, this);
         close_after_response_ = !reader_.message().keep_alive;
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -60,9 +60,18 @@
     /// The exchange that has not been answered yet, or 0 if there is none.
     exchange_id exchange() const { return exchange_; }
 
+    /// Continues with what was left to a later turn of the event loop.
+    void resume();
+
 private:
     void wait_readable();
     void on_readable();
+    /// Reads once, at most `limit` bytes.
+    void read(std::size_t limit);
+    /// Leaves the rest to a later turn of the event loop.
+    void defer();
+    /// Whether complete or partial requests wait in pending_ to be processed.
+    bool has_work() const;
     void on_bytes(std::span<char const> bytes);
     /// Whether bytes that arrive now belong to a later request.
     bool reads_ahead() const;
@@ -94,6 +103,7 @@
     memory_charge unsent_charge_;
     exchange_id exchange_ = 0;
     bool processing_ = false;
+    bool deferred_ = false;          ///< resume() will be called
     bool writing_ = false;           ///< waits to write the rest of unsent_
     bool read_wait_pending_ = false; ///< an async_wait for input is pending
     bool close_after_response_ = false;
--- a/eventloop/src/http_server.cpp
+++ b/eventloop/src/http_server.cpp
@@ -1,5 +1,6 @@
 // Accepts connections and routes responses to them.
 #include "details/server_connection.hpp"
+#include "details/turn_queue.hpp"
 #include <algorithm>
 #include <eventloop/http_server.hpp>
 #include <eventloop/process_budget.hpp>
@@ -33,11 +34,13 @@
     , budget_(budget)
     , acceptor_(loop)
     , accept_timer_(loop)
+    , turns_(std::make_shared<turn_queue>(loop))
 {
 }
 
 http_server::~http_server()
 {
+    turns_->clear();
     // The event loop may hold connections for longer than the server exists.
     for (auto const& [raw, connection] : connections_)
     {
--- a/eventloop/tests/http_server_test.cpp
+++ b/eventloop/tests/http_server_test.cpp
@@ -1,6 +1,9 @@
 // Tests http_server over real sockets.
 #include "server_fixture.hpp"
+#include <algorithm>
+#include <asio/post.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <sys/resource.h>
 
 namespace kumquatramp::eventloop
@@ -144,6 +147,67 @@
     CHECK(f.targets == std::vector<std::string>{"/1", "/2"});
 }
 
+// Guards against a crowd that delays gossip, the store's watch and readiness:
+// it may do only so much before other work of the loop has its turn.
+TEST_CASE("requests sent ahead and large bodies leave turns to other work")
+{
+    testing::server_fixture f;
+    std::size_t most_in_turn = 0;
+    std::size_t before = 0;
+    std::function<void()> turn = [&]
+    {
+        most_in_turn = std::max(most_in_turn, f.targets.size() - before);
+        before = f.targets.size();
+        asio::post(f.loop, turn);
+    };
+    std::vector<testing::raw_socket> clients;
+    auto const await_requests = [&](std::size_t count)
+    {
+        asio::post(f.loop, turn);
+        for (int i = 0; i < 2000 && f.targets.size() < count; ++i)
+        {
+            f.loop.restart();
+            f.loop.run_for(std::chrono::milliseconds(1));
+        }
+        turn = [] {};
+        CHECK(f.targets.size() == count);
+    };
+    SECTION("requests")
+    {
+        constexpr std::size_t count = 400;
+        std::string ahead;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            ahead += "GET / HTTP/1.1\r\n\r\n";
+        }
+        clients.push_back(f.client());
+        clients.back().send(ahead);
+        await_requests(count);
+        CHECK(most_in_turn <= 16);
+    }
+    SECTION("bodies")
+    {
+        std::string chunks;
+        for (int i = 0; i < 1000; ++i)
+        {
+            chunks += "1\r\nb\r\n";
+        }
+        for (int i = 0; i < 12; ++i)
+        {
+            clients.push_back(f.client());
+            clients.back().send(
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        }
+        f.run(10);
+        for (auto& c : clients)
+        {
+            c.send(chunks + "0\r\n\r\n");
+        }
+        await_requests(clients.size());
+        CHECK(most_in_turn <= 4);
+    }
+}
+
 TEST_CASE("a client that disconnects before its response is reported once")
 {
     fixture f;
