Refuse responses whose status is not from 100 to 599

Seen: no client got status 000 as an answer, but an order that its target answered so ended with 504 after the route's whole timeout, since a status below 200 counted as an interim response and the final one was waited for. From the same cause 00200 passed as 200, and statuses of 600 and more were relayed; 101 ended a request that had not asked for another protocol.

The reader checks the digits of the status line, since http_parser accepts any number; such a response is malformed, which ends the attempt at once: 502 and never sent again where it must not be repeated.

--- a/eventloop/include/eventloop/message_reader.hpp
+++ b/eventloop/include/eventloop/message_reader.hpp
@@ -11,8 +11,8 @@
 {
 
 /// Parses one message at a time from a byte stream. Ambiguous framing (both
-/// Content-Length and chunked encoding, or two Content-Length headers) is an
-/// error.
+/// Content-Length and chunked encoding, or two Content-Length headers) and a
+/// status outside 100 to 599 are errors.
 ///
 ///     message_reader reader(message_reader::kind::request, 16384, 262144);
 ///     std::size_t used = reader.feed(bytes);
@@ -84,6 +84,9 @@
     static int on_end(http_parser* p);
     static http_parser_settings const& callbacks();
     bool count_head_bytes(std::size_t length);
+    /// Whether the start of a response, as far as it has arrived, can have a
+    /// status from 100 to 599. http_parser accepts numbers of other lengths.
+    bool check_status(std::span<char const> bytes);
     std::size_t buffered_head_bytes() const;
     std::size_t buffered_body_bytes() const;
     /// Allocates what the body can use at most, so that growth by doubling does
@@ -98,6 +101,7 @@
     progress state_ = progress::idle;
     http_message message_;
     std::size_t head_size_ = 0;
+    std::size_t status_line_size_ = 0; ///< characters checked by check_status
     std::size_t declared_body_bytes_ = 0; ///< 0 if none is declared
     bool in_value_ = false;
     bool no_body_ = false;
--- a/eventloop/src/details/upstream_connection.cpp
+++ b/eventloop/src/details/upstream_connection.cpp
@@ -26,6 +26,8 @@
 /// A larger response leaves memory to smaller ones.
 constexpr std::size_t small_response_bytes = 16U << 10U;
 
+constexpr int switching_protocols = 101;
+
 /// Idle limit of a connection whose target has sent no Keep-Alive timeout.
 constexpr duration default_idle_limit = 10s;
 /// Factor applied to the Keep-Alive timeout that a target announces: part of it
@@ -236,10 +238,15 @@
             return;
         }
         int const status = reader_.message().status;
-        if (status >= 200 || status == 101)
+        if (status >= 200)
         {
             break;
         }
+        if (status == switching_protocols)
+        {
+            on_stream_end(false, "protocol switch that was not asked for");
+            return;
+        }
         reader_.reset(current_send_.no_body); // interim (1xx) response
     }
     if (reader_.state() == message_reader::progress::complete)
--- a/eventloop/src/message_reader.cpp
+++ b/eventloop/src/message_reader.cpp
@@ -92,6 +92,7 @@
     free_memory(message_.body);
     message_.keep_alive = true;
     head_size_ = 0;
+    status_line_size_ = 0;
     declared_body_bytes_ = 0;
     in_value_ = false;
     no_body_ = no_body;
@@ -123,6 +124,11 @@
     {
         return 0;
     }
+    if (kind_ == kind::response && !check_status(bytes))
+    {
+        state_ = progress::malformed;
+        return 0;
+    }
     std::size_t const used =
         http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
     if (state_ == progress::complete)
@@ -150,6 +156,37 @@
     return used;
 }
 
+bool message_reader::check_status(std::span<char const> bytes)
+{
+    constexpr std::size_t first_digit = std::string_view("HTTP/1.1 ").size();
+    constexpr std::size_t digits = 3;
+    for (char const c : bytes)
+    {
+        if (status_line_size_ > first_digit + digits)
+        {
+            return true;
+        }
+        bool const line_end = c == '\r' || c == '\n';
+        if (status_line_size_ == 0 && line_end)
+        {
+            continue; // blank lines may precede the status line
+        }
+        std::size_t const at = status_line_size_++;
+        if (at < first_digit)
+        {
+            continue; // http_parser checks the version
+        }
+        bool const valid = at == first_digit           ? c >= '1' && c <= '5'
+                           : at < first_digit + digits ? c >= '0' && c <= '9'
+                                                       : c == ' ' || line_end;
+        if (!valid)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 void message_reader::finish()
 {
     if (state_ == progress::body)
--- a/eventloop/tests/message_reader_test.cpp
+++ b/eventloop/tests/message_reader_test.cpp
@@ -209,4 +209,41 @@
     }
 }
 
+// Guards against a response without a valid status that is passed on, or taken
+// for an interim one so that the final one is waited for.
+TEST_CASE("a status has three digits, from 100 to 599")
+{
+    auto const read_response = [](std::string const& status_line, bool in_bytes)
+    {
+        response_reader reader;
+        std::string const bytes = status_line + "\r\nContent-Length: 0\r\n\r\n";
+        for (std::size_t at = 0; in_bytes && at < bytes.size(); ++at)
+        {
+            reader.feed({bytes.data() + at, 1});
+        }
+        if (!in_bytes)
+        {
+            reader.feed(bytes);
+        }
+        return reader.state();
+    };
+    bool const in_bytes = GENERATE(false, true);
+    CAPTURE(in_bytes);
+    for (char const* const bad :
+         {"000", "000 Bad", "001 Bad", "099 Bad", "00200 OK", "0200 OK",
+          "20 OK", "2 OK", "600 Bad", "999 Bad", " 200 OK", "2x0 OK"})
+    {
+        CAPTURE(bad);
+        CHECK(read_response(std::string("HTTP/1.1 ") + bad, in_bytes) ==
+              progress::malformed);
+    }
+    for (char const* const good :
+         {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ",
+          "\r\nHTTP/1.1 599 x", "HTTP/1.1 302 000"})
+    {
+        CAPTURE(good);
+        CHECK(read_response(good, in_bytes) == progress::complete);
+    }
+}
+
 } // namespace kumquatramp::eventloop
--- a/eventloop/tests/upstream_pool_test.cpp
+++ b/eventloop/tests/upstream_pool_test.cpp
@@ -504,6 +504,18 @@
     CHECK(f.budget.sockets.open() == 1);
 }
 
+TEST_CASE("a response without a valid status ends the attempt at once")
+{
+    fixture f;
+    auto target = start_and_accept(f, 1);
+    char const* const status = GENERATE("000", "00200", "101", "700");
+    CAPTURE(status);
+    target.send("HTTP/1.1 " + std::string(status) +
+                " X\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n");
+    CHECK(f.outcome(1) == send_outcome::invalid_response);
+    CHECK(f.pool.stats().open == 0);
+}
+
 TEST_CASE("a body is shared with the connection and written whole")
 {
     fixture f;
--- a/host/tests/front_service_test.cpp
+++ b/host/tests/front_service_test.cpp
@@ -158,6 +158,26 @@
     CHECK(f.front.engine().in_progress() == 0);
 }
 
+// Guards against an order that gets no answer until its deadline, because its
+// target's status 000 was taken for an interim response.
+TEST_CASE("a target's answer without a valid status is a failure at once")
+{
+    front_fixture f;
+    auto& target = f.add_target("t1");
+    auto client = f.connect_client();
+    client.send(request("POST", "/once/x", "id-1", "order"));
+    auto const at = f.await_request(target, "order");
+    REQUIRE(at);
+    target.connections[*at].send("HTTP/1.1 000 X\r\nX-Request: id-1\r\n"
+                                 "X-Stamp: s\r\nContent-Length: 0\r\n\r\n");
+    auto const answer = client.receive_until(f.loop, "\r\n\r\n");
+    CHECK(answer.substr(9, 3) == "502");
+    CHECK(answer.find("\"run\":\"unknown\"") != std::string::npos);
+    CHECK(answer.find("X-Stamp") == std::string::npos);
+    target.connections[*at].clear();
+    CHECK_FALSE(f.await_request(target, "order", 50));
+}
+
 // Guards against a host whose memory fills with the bodies of requests that
 // wait for targets that do not answer (review/6).
 TEST_CASE("a request is refused while others hold the memory for its body")
