Bound the memory of requests at the callers' port as well

Related path of the crowds: the daemon of the product's own interface took 1,024 connections x 1 MiB of body, each bounded, their sum not. It gets the same ledger, [callers] request_memory_bytes, 256 MiB by default.

--- a/transport/include/transport/caller_port.hpp
+++ b/transport/include/transport/caller_port.hpp
@@ -8,6 +8,7 @@
 #include <base/ids.hpp>
 #include <base/result.hpp>
 #include <eventloop/http_server.hpp>
+#include <eventloop/process_budget.hpp>
 #include <functional>
 #include <optional>
 #include <string>
@@ -77,6 +78,7 @@
     port_options const options_;
     clock const& time_;
     caller_service& service_;
+    eventloop::process_budget budget_;
     eventloop::http_server server_;
     asio::steady_timer sweep_timer_;
     /// A request that the service is executing; the id is empty for queries.
--- a/transport/include/transport/port_options.hpp
+++ b/transport/include/transport/port_options.hpp
@@ -19,6 +19,9 @@
     std::uint32_t max_connections =
         1024; ///< open connections, idle ones included
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
+    /// Memory of all requests that are being received and of responses that
+    /// are being written; large bodies are refused at three quarters of it.
+    std::size_t request_memory_bytes = std::size_t{256} * 1024 * 1024;
     stream_limits limits;
 
     /// Time from a request's first byte to its last; disconnects clients that
--- a/transport/src/caller_port.cpp
+++ b/transport/src/caller_port.cpp
@@ -60,7 +60,9 @@
     : options_(options)
     , time_(time)
     , service_(service)
-    , server_(loop, time, *this)
+    , budget_{.memory = eventloop::memory_ledger(options.request_memory_bytes),
+              .sockets = eventloop::socket_budget()}
+    , server_(loop, time, *this, &budget_)
     , sweep_timer_(loop)
 {
     server_.set_limits(edge_limits_of(options_));
--- a/transport/tests/caller_port_test.cpp
+++ b/transport/tests/caller_port_test.cpp
@@ -192,6 +192,31 @@
     REQUIRE(f.service.disconnects == 1);
 }
 
+// Guards against callers that fill the process with bodies that stop before
+// their end.
+TEST_CASE("a large body is refused while others hold the memory for it")
+{
+    auto options = tests::small_port_options();
+    options.max_body_bytes = 200'000;
+    options.request_memory_bytes = 400'000;
+    options.receive_timeout = 5s;
+    fixture f(options);
+    asio::io_context io;
+    auto stopped = f.connect(io);
+    std::string const large = "{" + std::string(199'000, ' ') + "}";
+    auto const bytes = fixture::post_bytes(query, large);
+    tests::send_text(stopped, bytes.substr(0, bytes.size() - 1));
+    std::string refusal;
+    REQUIRE(eventually(
+        [&]
+        {
+            refusal = f.post(query, large);
+            return contains(refusal, "503");
+        }));
+    REQUIRE(contains(refusal, "overloaded"));
+    REQUIRE(contains(f.post(query, "{}"), "200 OK"));
+}
+
 TEST_CASE("requests beyond the in-progress limit are refused immediately")
 {
     auto options = tests::small_port_options();
