Log and count when memory or sockets are short

memory.short, memory.enough, sockets.short, sockets.enough, and six metrics of the ledger, the sockets and what was refused or closed for them.

--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -189,6 +189,7 @@
     readiness_.sweep();
     directory_.sweep();
     control_.sweep();
+    watch_budget();
     tick_store_follower();
     check_settings(now);
     check_shutdown(now);
@@ -197,6 +198,35 @@
     log_.flush();
 }
 
+void query_host::details::watch_budget()
+{
+    auto const& memory = budget_.memory;
+    bool const memory_short =
+        memory_short_ ? memory.shortage() > 0 : memory.is_short();
+    if (memory_short != memory_short_)
+    {
+        memory_short_ = memory_short;
+        log_.note(memory_short ? "memory.short" : "memory.enough",
+                  settings_.name,
+                  fmt::format("{} of {} bytes for requests in use, {} requests "
+                              "refused so far",
+                              memory.used(), memory.capacity(),
+                              front_.server().memory_refusals()));
+    }
+    bool const sockets_short = budget_.sockets.client_shortage() > 0;
+    if (sockets_short != sockets_short_)
+    {
+        sockets_short_ = sockets_short;
+        log_.note(sockets_short ? "sockets.short" : "sockets.enough",
+                  settings_.name,
+                  fmt::format("{} sockets open, {} client connections refused "
+                              "and {} closed so far",
+                              budget_.sockets.open(),
+                              front_.server().refused_connections(),
+                              front_.server().closed_for_room()));
+    }
+}
+
 void query_host::details::tick_store_follower()
 {
     follower_.tick(time_.now());
--- a/host/src/query_host_details.hpp
+++ b/host/src/query_host_details.hpp
@@ -62,6 +62,8 @@
     void update_serving_role(time_point now);
     void stand_by(time_point now);
     void measure_lateness(time_point now);
+    /// Logs when memory or sockets become short, and when they no longer are.
+    void watch_budget();
     void check_settings(time_point now);
     void reload(char const* reason);
     endpoint_answer answer_readiness(std::string_view method,
@@ -103,7 +105,9 @@
 
     fleet::serving_role role_;
     time_point last_sweep_{};
-    double lateness_ms_ = 0; ///< of the sweep timer, smoothed
+    bool memory_short_ = false;  ///< as last logged
+    bool sockets_short_ = false; ///< as last logged
+    double lateness_ms_ = 0;     ///< of the sweep timer, smoothed
 
     // Total suspended time of the machine at the last sweep.
     duration suspended_ = eventloop::boot_clock::suspended();
--- a/host/src/query_host_endpoints.cpp
+++ b/host/src/query_host_endpoints.cpp
@@ -120,6 +120,18 @@
                  static_cast<double>(front_.server().connections()));
     print_metric(text, "client_accept_failures_total",
                  static_cast<double>(front_.server().accept_failures()));
+    print_metric(text, "client_connections_refused_total",
+                 static_cast<double>(front_.server().refused_connections()));
+    print_metric(text, "client_connections_closed_for_room_total",
+                 static_cast<double>(front_.server().closed_for_room()));
+    print_metric(text, "requests_refused_for_memory_total",
+                 static_cast<double>(front_.server().memory_refusals()));
+    print_metric(text, "request_memory_bytes",
+                 static_cast<double>(budget_.memory.used()));
+    print_metric(text, "request_memory_limit_bytes",
+                 static_cast<double>(budget_.memory.capacity()));
+    print_metric(text, "sockets_open",
+                 static_cast<double>(budget_.sockets.open()));
     print_metric(text, "target_connections", static_cast<double>(pool.open));
     print_metric(text, "target_connections_idle",
                  static_cast<double>(pool.idle));
