--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -174,12 +174,18 @@
     }
     pending_.append(bytes.data(), bytes.size());
     process();
-    if (exchange_ != 0)
+    if (!closed_)
     {
-        account();
+        // What was read ahead is held already.
+        charge_.resize(held_bytes());
     }
 }
 
+std::size_t server_connection::held_bytes() const
+{
+    return connection_bytes + request_bytes() + heap_bytes(pending_);
+}
+
 std::size_t server_connection::request_bytes() const
 {
     using progress = message_reader::progress;
@@ -194,10 +200,10 @@
 
 bool server_connection::account()
 {
-    std::size_t const request = request_bytes();
-    return charge_.try_resize(
-        connection_bytes + request + heap_bytes(pending_),
-        request > small_request_bytes ? memory_use::large : memory_use::small);
+    return charge_.try_resize(held_bytes(),
+                              request_bytes() > small_request_bytes
+                                  ? memory_use::large
+                                  : memory_use::small);
 }
 
 bool server_connection::receives_slowly(time_point now) const
@@ -298,7 +304,7 @@
         server_.exchanges_.emplace(exchange_, this);
         close_after_response_ = !reader_.message().keep_alive;
         // From here on the handler accounts for the request.
-        charge_.resize(connection_bytes + heap_bytes(pending_));
+        charge_.resize(held_bytes());
         server_.handler_.on_request(exchange_, reader_.message());
         if (exchange_ != 0)
         {
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -79,6 +79,8 @@
     /// present limits. Returns the number of bytes consumed.
     std::size_t feed(std::span<char const> bytes);
     void process();
+    /// Memory that the connection is charged for.
+    std::size_t held_bytes() const;
     /// Charges what the connection holds. Returns false if there is no memory
     /// for the request being received.
     bool account();
