--- a/eventloop/include/eventloop/http_server.hpp
+++ b/eventloop/include/eventloop/http_server.hpp
@@ -47,7 +47,7 @@
 };
 
 /// Handles one request at a time on each connection and reads only as far as
-/// the limits allow. Requests sent ahead, and large bodies, are worked off over
+/// the limits allow. Pipelined requests, and large bodies, are handled over
 /// several turns of the event loop. Not thread-safe: everything runs on the
 /// thread of the event loop.
 class http_server
--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -17,7 +17,7 @@
 /// Limit on buffered bytes of pipelined requests; reading stops at this size.
 constexpr std::size_t max_pending_bytes = 16384;
 /// Most that one connection does in a turn of the event loop: bytes of a body,
-/// and requests that were sent ahead.
+/// and pipelined requests.
 constexpr std::size_t max_bytes_per_turn = 16384;
 constexpr int max_requests_per_turn = 8;
 /// How long a client may take to close its side after the last response.
--- a/eventloop/tests/http_server_test.cpp
+++ b/eventloop/tests/http_server_test.cpp
@@ -111,8 +111,8 @@
 }
 
 // Guards against a connection that is never read again: reading had stopped
-// while the first response was being written, since much had been sent ahead.
-TEST_CASE("a large request sent ahead of an unread response is answered")
+// while the first response was being written, since much had been pipelined.
+TEST_CASE("a large request pipelined behind an unread response is answered")
 {
     fixture f;
     std::string const body(200'000, 'b');
@@ -149,7 +149,7 @@
 
 // Guards against a crowd that delays gossip, the store's watch and readiness:
 // it may do only so much before other work of the loop has its turn.
-TEST_CASE("requests sent ahead and large bodies leave turns to other work")
+TEST_CASE("pipelined requests and large bodies leave turns to other work")
 {
     testing::server_fixture f;
     std::size_t most_in_turn = 0;
