Log which history of the store a host follows, and refused configurations

The log and the metrics could not tell the hypotheses apart: version_age_ms was reset by any answer, also by one that brought a configuration which was refused, or by one page of a listing.

- A request's line states the era (Store-Era) and revision up to which the host has followed the store; so do /status and the metrics.
- store.history_replaced: the era changed, or a revision is below those received.
- configuration.refused also for a configuration that cannot be read and for other contents under the version in force, which left no line before.
Gauge and counter of refusals.
- version_age_ms is reset only when all that the store held has been applied, and not while the configuration read last is refused.

--- a/host/include/host/host_log.hpp
+++ b/host/include/host/host_log.hpp
@@ -5,6 +5,7 @@
 #include <base/clock.hpp>
 #include <cstdint>
 #include <memory>
+#include <registry/store_item.hpp>
 #include <serving/event_sink.hpp>
 #include <string>
 #include <string_view>
@@ -37,6 +38,12 @@
     void note(std::string_view event, std::string_view subject,
               std::string_view detail) override;
 
+    /// Sets the position in the store's history that requests' lines state.
+    void set_store_position(registry::store_position position)
+    {
+        store_ = position;
+    }
+
     /// Logs the outcome of a request in one line.
     void request(std::string_view id, serving::request_summary const& summary);
 
@@ -47,16 +54,26 @@
     std::uint64_t dropped() const;
 
 private:
-    bool within_rate();
+    /// Lines of one kind in the present second. Each kind has its own limit,
+    /// so that a burst of failed requests does not hide changes of state.
+    struct line_rate
+    {
+        time_point second_started{};
+        int lines = 0;
+    };
+
+    bool within_rate(line_rate& rate);
     /// `fields` are JSON members, added after those common to all lines.
-    void write(std::string_view event, std::string_view fields);
+    void write(line_rate& rate, std::string_view event,
+               std::string_view fields);
 
     std::string host_; ///< as a JSON string
     clock const& time_;
     std::shared_ptr<bounded_sink> sink_;
     std::unique_ptr<spdlog::logger> logger_;
-    time_point second_started_{};
-    int lines_this_second_ = 0;
+    line_rate requests_;
+    line_rate changes_;
+    registry::store_position store_;
 };
 
 /// Returns `text` as a quoted and escaped JSON string.
--- a/host/include/host/platform_adapter.hpp
+++ b/host/include/host/platform_adapter.hpp
@@ -20,6 +20,8 @@
 /// Called at the end of each call to the store; `cause` describes the failure.
 struct store_callbacks
 {
+    /// Called before the other two if the answer states the store's era.
+    std::function<void(std::uint64_t era)> era;
     std::function<void(registry::store_answer const&)> answered;
     std::function<void(registry::store_failure, char const* cause)> failed;
 };
--- a/host/include/host/store_change.hpp
+++ b/host/include/host/store_change.hpp
@@ -31,15 +31,22 @@
     std::string reason;
 };
 
+/// A configuration that cannot be used because of `reason`; the one in force
+/// stays, although the store holds another.
+struct unusable_configuration
+{
+    std::string reason;
+};
+
 /// An entry whose key hosts do not use.
 struct unrelated_entry
 {
 };
 
 using store_change =
-    std::variant<unrelated_entry, unusable_entry, serving::catalogue_data,
-                 serving::target_record, target_removed, zone_evacuated,
-                 zone_restored>;
+    std::variant<unrelated_entry, unusable_entry, unusable_configuration,
+                 serving::catalogue_data, serving::target_record,
+                 target_removed, zone_evacuated, zone_restored>;
 
 } // namespace kumquatramp::host
 
--- a/host/src/host_log.cpp
+++ b/host/src/host_log.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-/// Rate limit; further lines in a second, as in a burst of refusals, are only
-/// counted as dropped.
+/// Rate limit of requests and of changes of state each; further lines in a
+/// second, as in a burst of refusals, are only counted as dropped.
 constexpr int max_lines_per_second = 200;
 
 } // namespace
@@ -57,15 +57,15 @@
     sink_->drain();
 }
 
-bool host_log::within_rate()
+bool host_log::within_rate(line_rate& rate)
 {
     time_point const now = time_.now();
-    if (now - second_started_ >= 1s)
+    if (now - rate.second_started >= 1s)
     {
-        second_started_ = now;
-        lines_this_second_ = 0;
+        rate.second_started = now;
+        rate.lines = 0;
     }
-    if (++lines_this_second_ > max_lines_per_second)
+    if (++rate.lines > max_lines_per_second)
     {
         sink_->count_dropped();
         return false;
@@ -73,9 +73,10 @@
     return true;
 }
 
-void host_log::write(std::string_view event, std::string_view fields)
+void host_log::write(line_rate& rate, std::string_view event,
+                     std::string_view fields)
 {
-    if (!within_rate())
+    if (!within_rate(rate))
     {
         return;
     }
@@ -97,8 +98,9 @@
 void host_log::note(std::string_view event, std::string_view subject,
                     std::string_view detail)
 {
-    write(event, fmt::format(R"("subject":{},"detail":{})", json_text(subject),
-                             json_text(detail)));
+    write(changes_, event,
+          fmt::format(R"("subject":{},"detail":{})", json_text(subject),
+                      json_text(detail)));
 }
 
 void host_log::request(std::string_view id,
@@ -107,16 +109,18 @@
     constexpr std::string_view events[] = {"request.served", "request.degraded",
                                            "request.failed"};
     write(
-        events[static_cast<int>(summary.kind)],
+        requests_, events[static_cast<int>(summary.kind)],
         fmt::format(
             R"("id":{},"outcome":"{}","route":{},"version":{},)"
-            R"("version_age_ms":{},"after_ms":{},)"
+            R"("version_age_ms":{},"store_era":{},"store_revision":{},)"
+            R"("after_ms":{},)"
             R"("shards":{},"missing":{},"details":{})",
             json_text(id), summary.outcome, json_text(summary.route),
             summary.version,
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 summary.version_age)
                 .count(),
+            store_.era, store_.revision,
             std::chrono::duration_cast<std::chrono::milliseconds>(summary.took)
                 .count(),
             summary.shards, summary.missing, json_text(summary.details)));
--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -83,13 +83,13 @@
                { return answer_control(method, target); })
     , store_(adapter.connect_store(
                  loop_, settings_.store,
-                 {.answered =
+                 {.era = [this](std::uint64_t era) { follower_.on_era(era); },
+                  .answered =
                       [this](registry::store_answer const& a)
                   {
-                      time_point const now = time_.now();
                       store_.on_call_ended();
-                      follower_.on_answer(a, now);
-                      front_.engine().confirm_catalogue(now);
+                      follower_.on_answer(a, time_.now());
+                      log_.set_store_position(follower_.position());
                       tick_store_follower();
                   },
                   .failed =
--- a/host/src/query_host_details.hpp
+++ b/host/src/query_host_details.hpp
@@ -45,9 +45,12 @@
     void begin_listing() override;
     void apply(registry::store_item const& item, time_point now) override;
     void end_listing(time_point now) override;
+    void on_current(time_point now) override;
 
 private:
     void apply_catalogue(serving::catalogue_data data);
+    void refuse_configuration(std::string_view version,
+                              std::string_view reason);
     void listen();
     void schedule_periodic(asio::steady_timer& timer, duration pause,
                            void (details::*step)());
@@ -103,6 +106,10 @@
     std::set<std::string, std::less<>> listed_targets_;
     std::set<std::string> listed_evacuations_;
 
+    /// The configuration that the store holds was not put in force.
+    bool configuration_refused_ = false;
+    std::uint64_t refused_configurations_ = 0;
+
     fleet::serving_role role_;
     time_point last_sweep_{};
     bool memory_short_ = false;  ///< as last logged
--- a/host/src/query_host_endpoints.cpp
+++ b/host/src/query_host_endpoints.cpp
@@ -64,11 +64,15 @@
                 .body = fmt::format(
                     R"({{"host":"{}","zone":"{}","ready":{},"leaving":{},)"
                     R"("configuration_version":{},"live_hosts":{},)"
+                    R"("configuration_refused":{},"store_era":{},)"
+                    R"("store_revision":{},)"
                     R"("targets_usable":{},"store_contact_age_ms":{}}})",
                     settings_.name, settings_.zone, ready(),
                     leaving_since_.has_value(),
                     catalogue == nullptr ? 0 : catalogue->version(),
-                    fleet_.live_hosts(), targets_.usable_count(),
+                    fleet_.live_hosts(), configuration_refused_,
+                    follower_.position().era, follower_.position().revision,
+                    targets_.usable_count(),
                     (now - follower_.last_contact()) / 1ms)};
     }
     return {};
@@ -144,6 +148,15 @@
     print_metric(
         text, "configuration_version",
         catalogue == nullptr ? 0.0 : static_cast<double>(catalogue->version()));
+    print_metric(text, "configuration_refused", configuration_refused_ ? 1 : 0);
+    print_metric(text, "configurations_refused_total",
+                 static_cast<double>(refused_configurations_));
+    print_metric(text, "store_era",
+                 static_cast<double>(follower_.position().era));
+    print_metric(text, "store_revision",
+                 static_cast<double>(follower_.position().revision));
+    print_metric(text, "store_histories_replaced_total",
+                 static_cast<double>(follower_.replaced_histories()));
     store_.listing_latency().print(text, "store_listing_seconds");
     print_metric(text, "store_calls_total",
                  static_cast<double>(follower_.calls()));
--- a/host/src/query_host_store.cpp
+++ b/host/src/query_host_store.cpp
@@ -18,6 +18,10 @@
     {
         log_.note("store.unusable_entry", item.key, unusable->reason);
     }
+    else if (auto* invalid = std::get_if<unusable_configuration>(&change))
+    {
+        refuse_configuration("unreadable", invalid->reason);
+    }
     else if (auto* data = std::get_if<serving::catalogue_data>(&change))
     {
         apply_catalogue(std::move(*data));
@@ -56,17 +60,42 @@
     auto const catalogue =
         std::make_shared<serving::route_catalogue const>(std::move(data));
     std::string const version = std::to_string(catalogue->version());
-    if (front_.engine().set_catalogue(catalogue))
+    auto const* const active = front_.engine().catalogue();
+    if (active != nullptr && catalogue->same_as(*active))
+    {
+        configuration_refused_ = false;
+    }
+    else if (front_.engine().set_catalogue(catalogue))
     {
+        configuration_refused_ = false;
         front_.server().set_limits(catalogue->limits());
         log_.note("configuration.accepted", version, "now in effect");
         fleet_.set_ready(ready());
     }
-    else if (auto const* active = front_.engine().catalogue();
-             active == nullptr || catalogue->version() < active->version())
+    else
+    {
+        bool const same_version =
+            active != nullptr && active->version() == catalogue->version();
+        refuse_configuration(
+            version, same_version
+                         ? "other contents under the version in force"
+                         : "older than a version that was active before");
+    }
+}
+
+void query_host::details::refuse_configuration(std::string_view version,
+                                               std::string_view reason)
+{
+    configuration_refused_ = true;
+    ++refused_configurations_;
+    log_.note("configuration.refused", version, reason);
+}
+
+void query_host::details::on_current(time_point now)
+{
+    if (!configuration_refused_)
     {
-        log_.note("configuration.refused", version,
-                  "older than a version that was active before");
+        front_.engine().confirm_catalogue(now);
     }
 }
 
--- a/host/tests/host_log_test.cpp
+++ b/host/tests/host_log_test.cpp
@@ -90,6 +90,7 @@
     small_pipe out;
     manual_clock time;
     host_log log(out.ends[1], "front-1", time);
+    log.set_store_position({.era = 3, .revision = 140});
     log.request("id \"7\"\x02", refusal());
     log.flush();
     auto const lines = lines_of(out.read_all());
@@ -100,6 +101,8 @@
     CHECK(lines[0]["outcome"] == "overloaded");
     CHECK(lines[0]["version"] == 7);
     CHECK(lines[0]["version_age_ms"] == 4500);
+    CHECK(lines[0]["store_era"] == 3);
+    CHECK(lines[0]["store_revision"] == 140);
     CHECK(lines[0]["after_ms"] == 12);
     CHECK(lines[0]["missing"] == 1);
     CHECK(lines[0]["details"].asString().find("refused-by i-1") !=
@@ -107,6 +110,26 @@
     CHECK(lines[0]["dropped"] == 0);
 }
 
+// Guards against a refused configuration whose line is dropped because many
+// requests fail in the same second.
+TEST_CASE("a burst of failed requests does not hide a change of state")
+{
+    small_pipe out;
+    manual_clock time;
+    host_log log(out.ends[1], "front-1", time);
+    for (int i = 0; i < 1000; ++i)
+    {
+        log.request("id", refusal());
+        log.flush();
+        out.read_all();
+    }
+    log.note("configuration.refused", "8", "older");
+    log.flush();
+    auto const lines = lines_of(out.read_all());
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["event"] == "configuration.refused");
+}
+
 TEST_CASE("load pattern burst of refusals: lines per second are bounded, and "
           "dropped lines are reported")
 {
--- a/registry/include/registry/store_follower.hpp
+++ b/registry/include/registry/store_follower.hpp
@@ -49,6 +49,9 @@
     /// Time of the next call; `never` while one is in progress.
     time_point next_due() const { return next_call_; }
 
+    /// An answer of any kind, also a refusal, states the era of the store's
+    /// history. To be called before the answer itself is handled.
+    void on_era(std::uint64_t era);
     /// Handles the answer of the call in progress.
     void on_answer(store_answer const& answer, time_point now);
     /// Handles the failure of the call in progress; `cause` goes to the log.
@@ -73,8 +76,14 @@
     std::uint64_t calls() const { return calls_; }
     /// Waiting watches that the store cut.
     std::uint64_t cuts() const { return cuts_; }
+    /// Changes up to here have been received.
+    store_position position() const { return {era_, revision_}; }
+    /// Times that the store came back with another history.
+    std::uint64_t replaced_histories() const { return replaced_histories_; }
 
 private:
+    /// The store's revisions no longer continue those received.
+    void note_replaced_history(std::string const& evidence);
     void apply_page(store_answer const& answer, time_point now);
     void apply_changes(store_answer const& answer, time_point now);
     /// Makes the next call due a jittered back-off after the start of the
@@ -93,7 +102,9 @@
     bool synchronized_ = false; ///< a listing has been completed
     std::string last_key_; ///< of the listing in progress; empty: first page
     std::uint64_t revision_ = 0; ///< changes up to it have been received
-    int failures_ = 0;           ///< consecutive failed calls
+    std::uint64_t era_ = 0;      ///< last stated by the store; 0: none yet
+    std::uint64_t replaced_histories_ = 0;
+    int failures_ = 0; ///< consecutive failed calls
     std::uint64_t calls_ = 0;
     std::uint64_t cuts_ = 0;
     time_point call_started_{}; ///< of the latest call
--- a/registry/include/registry/store_item.hpp
+++ b/registry/include/registry/store_item.hpp
@@ -17,6 +17,15 @@
     bool deleted = false;
 };
 
+/// Position in the store's history: the changes up to `revision`. A store that
+/// is restored from a copy starts another era, in which it assigns revisions
+/// again; revisions of different eras cannot be compared.
+struct store_position
+{
+    std::uint64_t era = 0; ///< 0: the store has not stated one
+    std::uint64_t revision = 0;
+};
+
 /// Listed items or changes, with the store's revision at the time of the
 /// answer.
 struct store_answer
--- a/registry/include/registry/store_sink.hpp
+++ b/registry/include/registry/store_sink.hpp
@@ -23,6 +23,8 @@
     virtual void apply(store_item const& item, time_point now) = 0;
     /// Ends a listing: items that it did not contain no longer exist.
     virtual void end_listing(time_point now) = 0;
+    /// All that the store held when it answered has been applied.
+    virtual void on_current(time_point now) = 0;
 };
 
 } // namespace kumquatramp::registry
--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -88,6 +88,24 @@
     port_.list(last_key_);
 }
 
+void store_follower::on_era(std::uint64_t era)
+{
+    if (era_ != 0 && era != era_)
+    {
+        note_replaced_history("era " + std::to_string(era) + " after " +
+                              std::to_string(era_));
+    }
+    era_ = era;
+}
+
+void store_follower::note_replaced_history(std::string const& evidence)
+{
+    ++replaced_histories_;
+    log_.note("store.history_replaced", "store",
+              evidence + "; changes received up to revision " +
+                  std::to_string(revision_));
+}
+
 void store_follower::on_answer(store_answer const& answer, time_point now)
 {
     call_in_progress_ = false;
@@ -130,6 +148,7 @@
     last_key_.clear();
     listing_ = false;
     sink_.end_listing(now);
+    sink_.on_current(now);
     if (!synchronized_)
     {
         synchronized_ = true;
@@ -144,9 +163,14 @@
     {
         sink_.apply(item, now);
     }
+    if (answer.revision < revision_)
+    {
+        note_replaced_history("revision " + std::to_string(answer.revision));
+    }
     revision_ = std::max(revision_, answer.revision);
     next_call_ =
         answer.items.empty() ? now : now + options_.min_change_interval;
+    sink_.on_current(now);
 }
 
 void store_follower::on_failure(store_failure failure, char const* cause,
--- a/registry/tests/store_follower_test.cpp
+++ b/registry/tests/store_follower_test.cpp
@@ -40,8 +40,10 @@
         events.push_back((item.deleted ? "-" : "+") + item.key);
     }
     void end_listing(time_point) override { events.emplace_back("end"); }
+    void on_current(time_point now) override { current_at = now; }
 
     std::vector<std::string> events;
+    time_point current_at{}; ///< of the last on_current
 };
 
 class recording_log final : public serving::event_sink
@@ -205,6 +207,47 @@
     CHECK(follower.next_due() - sent < bound);
 }
 
+// Guards against a host that calls a configuration confirmed when a part of a
+// listing or a refusal has arrived.
+TEST_CASE("only a complete answer shows that the sink is up to date")
+{
+    fixture f;
+    time_point const never_current = f.sink.current_at;
+    f.follower.tick(f.now);
+    f.follower.on_answer({{{"a", "", false}}, 10, true}, f.now);
+    CHECK(f.sink.current_at == never_current);
+    f.follower.tick(f.now);
+    f.follower.on_answer({{{"b", "", false}}, 10, false}, f.now);
+    CHECK(f.sink.current_at == f.now);
+    time_point const listed = f.now;
+    f.advance(1s);
+    f.follower.on_failure(store_failure::history_lost, "", f.now);
+    CHECK(f.sink.current_at == listed);
+}
+
+// Guards against a store that has come back from a copy without a line in the
+// log of the hosts that followed it.
+TEST_CASE("a replaced history is logged with its evidence")
+{
+    fixture f;
+    f.follower.on_era(3);
+    f.synchronize();
+    CHECK(f.follower.replaced_histories() == 0);
+    SECTION("by the era that an answer states")
+    {
+        f.follower.on_era(3);
+        CHECK(f.follower.replaced_histories() == 0);
+        f.follower.on_era(4);
+        CHECK(f.follower.replaced_histories() == 1);
+    }
+    SECTION("by a revision below those received")
+    {
+        f.follower.on_answer({{}, 9, false}, f.now);
+        CHECK(f.follower.replaced_histories() == 1);
+    }
+    CHECK(f.log.events.back() == "store.history_replaced");
+}
+
 TEST_CASE("a listing that fails midway resumes after its last key")
 {
     fixture f;
--- a/registry/tests/store_outage_test.cpp
+++ b/registry/tests/store_outage_test.cpp
@@ -30,6 +30,7 @@
         arrivals.emplace(std::stoul(item.key), now);
     }
     void end_listing(time_point) override {}
+    void on_current(time_point) override {}
 
     std::map<std::size_t, time_point> arrivals;
 };
--- a/serving/include/serving/backend_service.hpp
+++ b/serving/include/serving/backend_service.hpp
@@ -13,6 +13,8 @@
     std::string health_path;
     int max_connections = 0; ///< to a target, over all hosts; 0: no limit
     double warmup_rate = 0;  ///< requests/s to a cold target; 0: no limit
+
+    bool operator==(backend_service const&) const = default;
 };
 
 } // namespace kumquatramp::serving
--- a/serving/include/serving/edge_limits.hpp
+++ b/serving/include/serving/edge_limits.hpp
@@ -20,6 +20,8 @@
     duration message_timeout = 60s; ///< from first to last byte of a request
     duration write_timeout = 60s;   ///< for sending an answer to the client
     duration idle_timeout = 15s;    ///< without traffic
+
+    bool operator==(edge_limits const&) const = default;
 };
 
 } // namespace kumquatramp::serving
--- a/serving/include/serving/route.hpp
+++ b/serving/include/serving/route.hpp
@@ -14,6 +14,8 @@
 {
     std::string service;
     double weight = 1.0;
+
+    bool operator==(split_part const&) const = default;
 };
 
 /// A route as the operator configured it. Exactly one of `split` and `shards`
@@ -34,6 +36,7 @@
     double min_coverage = 1.0; ///< least share of shards for success
 
     bool scatters() const { return !shards.empty(); }
+    bool operator==(route const&) const = default;
 };
 
 } // namespace kumquatramp::serving
--- a/serving/include/serving/route_catalogue.hpp
+++ b/serving/include/serving/route_catalogue.hpp
@@ -22,6 +22,8 @@
     std::vector<route> routes;
     std::vector<backend_service> services;
     edge_limits limits;
+
+    bool operator==(catalogue_data const&) const = default;
 };
 
 /// Immutable. Each request keeps the version under which it was admitted.
@@ -32,6 +34,11 @@
 
     std::uint64_t version() const { return data_.version; }
     edge_limits const& limits() const { return data_.limits; }
+    /// Whether both have the same version, routes, services and limits.
+    bool same_as(route_catalogue const& other) const
+    {
+        return data_ == other.data_;
+    }
 
     /// The route of the host with the longest prefix that matches the path, or
     /// null. Host names compare case-insensitively and without the port.
