List again when the store has come back with another history

What callers saw: after a restore of the store, requests were answered by the configuration from before, 404 on routes that had been added, until the next version came.

Cause: a host continued to watch from a revision of the history that the store had lost. What had been written again stood at or below that number, so no watch ever returned it, and each answer without changes counted as proof that the configuration was the newest. The class: positions of two histories are compared as if they were one.

A change of Store-Era in any answer, also in a refusal, now makes a listing the next call; the answer is not used unless it begins a listing. So does a watch's answer with a revision below those received, which covers a store that does not state its era and a watch that waits beyond the store's end.

The first case without the header and with everything written before the return is left out of the test: it cannot be told apart from a store that lost nothing.

--- a/registry/include/registry/store_follower.hpp
+++ b/registry/include/registry/store_follower.hpp
@@ -26,9 +26,10 @@
 };
 
 /// Lists all items once, then watches for changes; lists again when the store
-/// no longer keeps the history needed. Failed calls are repeated with
-/// exponential back-off; a waiting watch that the store cuts is repeated
-/// without. The items received stay in use while the store is
+/// no longer keeps the history needed, or when it has come back with another
+/// one, of which nothing that was received before is a part. Failed calls are
+/// repeated with exponential back-off; a waiting watch that the store cuts is
+/// repeated without. The items received stay in use while the store is
 /// unavailable.
 ///
 ///     store_follower follower(options, port, sink, random, log);
@@ -50,7 +51,8 @@
     time_point next_due() const { return next_call_; }
 
     /// An answer of any kind, also a refusal, states the era of the store's
-    /// history. To be called before the answer itself is handled.
+    /// history. To be called before the answer itself is handled, which is then
+    /// ignored if it continues another history.
     void on_era(std::uint64_t era);
     /// Handles the answer of the call in progress.
     void on_answer(store_answer const& answer, time_point now);
@@ -82,8 +84,9 @@
     std::uint64_t replaced_histories() const { return replaced_histories_; }
 
 private:
-    /// The store's revisions no longer continue those received.
-    void note_replaced_history(std::string const& evidence);
+    /// The store's revisions no longer continue those received: makes a listing
+    /// the next call.
+    void start_over(std::string const& evidence);
     void apply_page(store_answer const& answer, time_point now);
     void apply_changes(store_answer const& answer, time_point now);
     /// Makes the next call due a jittered back-off after the start of the
@@ -98,6 +101,8 @@
 
     bool listing_ = true;
     bool call_in_progress_ = false; ///< a call has been started and not ended
+    /// The answer of the call in progress continues a history that has ended.
+    bool answer_outdated_ = false;
     bool paused_ = false;
     bool synchronized_ = false; ///< a listing has been completed
     std::string last_key_; ///< of the listing in progress; empty: first page
--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -72,6 +72,7 @@
         return;
     }
     call_in_progress_ = true;
+    answer_outdated_ = false;
     call_started_ = now;
     next_call_ = never;
     ++calls_;
@@ -92,18 +93,22 @@
 {
     if (era_ != 0 && era != era_)
     {
-        note_replaced_history("era " + std::to_string(era) + " after " +
-                              std::to_string(era_));
+        start_over("era " + std::to_string(era) + " after " +
+                   std::to_string(era_));
     }
     era_ = era;
 }
 
-void store_follower::note_replaced_history(std::string const& evidence)
+void store_follower::start_over(std::string const& evidence)
 {
     ++replaced_histories_;
     log_.note("store.history_replaced", "store",
               evidence + "; changes received up to revision " +
-                  std::to_string(revision_));
+                  std::to_string(revision_) + "; listing again");
+    bool const first_page = listing_ && last_key_.empty();
+    answer_outdated_ = call_in_progress_ && !first_page;
+    listing_ = true;
+    last_key_.clear();
 }
 
 void store_follower::on_answer(store_answer const& answer, time_point now)
@@ -116,7 +121,11 @@
                   "after " + std::to_string(failures_) + " failed calls");
         failures_ = 0;
     }
-    if (listing_)
+    if (answer_outdated_)
+    {
+        next_call_ = now;
+    }
+    else if (listing_)
     {
         apply_page(answer, now);
     }
@@ -159,15 +168,17 @@
 
 void store_follower::apply_changes(store_answer const& answer, time_point now)
 {
-    for (auto const& item : answer.items)
+    if (answer.revision < revision_)
     {
-        sink_.apply(item, now);
+        start_over("revision " + std::to_string(answer.revision));
+        next_call_ = now;
+        return;
     }
-    if (answer.revision < revision_)
+    for (auto const& item : answer.items)
     {
-        note_replaced_history("revision " + std::to_string(answer.revision));
+        sink_.apply(item, now);
     }
-    revision_ = std::max(revision_, answer.revision);
+    revision_ = answer.revision;
     next_call_ =
         answer.items.empty() ? now : now + options_.min_change_interval;
     sink_.on_current(now);
--- a/registry/tests/store_follower_test.cpp
+++ b/registry/tests/store_follower_test.cpp
@@ -225,6 +225,63 @@
     CHECK(f.sink.current_at == listed);
 }
 
+// Guards against a host that goes on by the revisions of a history that the
+// store no longer has.
+TEST_CASE("another era leads to a new listing, whatever kind of answer states "
+          "it")
+{
+    fixture f;
+    f.follower.on_era(3);
+    f.synchronize();
+    SECTION("changes: they are not applied")
+    {
+        f.follower.on_era(4);
+        f.follower.on_answer({{{"x", "", false}}, 12, false}, f.now);
+    }
+    SECTION("a refusal")
+    {
+        f.follower.on_era(4);
+        f.follower.on_failure(store_failure::busy, "busy", f.now);
+    }
+    SECTION("lost history")
+    {
+        f.follower.on_era(4);
+        f.follower.on_failure(store_failure::history_lost, "", f.now);
+    }
+    SECTION("a later page of a listing")
+    {
+        f.follower.on_failure(store_failure::history_lost, "", f.now);
+        f.follower.tick(f.now);
+        f.follower.on_answer({{{"a", "", false}}, 12, true}, f.now);
+        f.follower.tick(f.now);
+        f.port.calls.clear();
+        f.sink.events.clear();
+        f.follower.on_era(4);
+        f.follower.on_answer({{{"x", "", false}}, 12, false}, f.now);
+    }
+    CHECK(f.sink.events.empty());
+    f.advance(1s);
+    CHECK(f.port.calls == std::vector<std::string>{"list "});
+    f.follower.on_era(4);
+    f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
+    CHECK(f.sink.events == std::vector<std::string>{"begin", "+b", "end"});
+    f.follower.tick(f.now);
+    CHECK(f.port.calls.back() == "watch 5");
+}
+
+TEST_CASE("the first page of a listing that states another era is used")
+{
+    fixture f;
+    f.follower.on_era(3);
+    f.synchronize();
+    f.follower.on_failure(store_failure::history_lost, "", f.now);
+    f.follower.tick(f.now);
+    f.follower.on_era(4);
+    f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
+    f.follower.tick(f.now);
+    CHECK(f.port.calls == std::vector<std::string>{"list ", "watch 5"});
+}
+
 // Guards against a store that has come back from a copy without a line in the
 // log of the hosts that followed it.
 TEST_CASE("a replaced history is logged with its evidence")
