--- a/serving/tests/catalogue_and_merge_test.cpp
+++ b/serving/tests/catalogue_and_merge_test.cpp
@@ -1,5 +1,7 @@
 // Route look-up, merging of partial results and the latency estimate.
+#include <base/seeded_random.hpp>
 #include <catch2/catch.hpp>
+#include <map>
 #include <serving/latency_estimate.hpp>
 #include <serving/part_merge.hpp>
 #include <serving/route_catalogue.hpp>
@@ -51,6 +53,52 @@
     CHECK(c.find("c.example", "/x/") == nullptr);
 }
 
+// Guards against a request that is handled by another route than the one with
+// the longest prefix, whatever the order of the routes.
+TEST_CASE("the route found is the longest prefix among random routes")
+{
+    seeded_random random(7);
+    std::vector<std::string> const hosts{"a.example", "A.example", "b.example"};
+    auto const random_path = [&]
+    {
+        std::string path = "/";
+        for (auto n = random.below(4); n > 0; --n)
+        {
+            path += std::string(1, static_cast<char>('a' + random.below(2))) +
+                    (random.below(3) == 0 ? "x/" : "/");
+        }
+        return path;
+    };
+    for (int round = 0; round < 500; ++round)
+    {
+        std::map<std::string, std::string> longest; // by host and prefix
+        catalogue_data data;
+        for (int i = 0; i < 12; ++i)
+        {
+            auto const& host = hosts[random.below(hosts.size())];
+            auto const prefix = random_path();
+            std::string const key =
+                (host == "A.example" ? "a.example" : host) + prefix;
+            if (longest.emplace(key, std::to_string(i)).second)
+            {
+                data.routes.push_back(
+                    make_route(std::to_string(i), host, prefix));
+            }
+        }
+        route_catalogue const catalogue(data);
+        std::string const path = random_path() + "leaf";
+        std::string expected = "none";
+        for (std::size_t size = 1; size <= path.size(); ++size)
+        {
+            auto const it = longest.find("a.example" + path.substr(0, size));
+            expected = it == longest.end() ? expected : it->second;
+        }
+        route const* found = catalogue.find("a.EXAMPLE:80", path + "?q=/b/");
+        CAPTURE(path);
+        CHECK((found == nullptr ? "none" : found->name) == expected);
+    }
+}
+
 TEST_CASE("a merge keeps the greatest records in descending order, including "
           "equal ones")
 {
