Do not take the copy of a restored store for the truth at once

What callers would see: requests sent to servers that drain or have left, and to a zone that is evacuated, because the store came back from a copy that does not know of it yet.

Cause: the listing that follows a restore was applied like any other: it ended evacuations, made draining targets ready and brought back those that had left.

For 5 s after the store's return the listing adds and does not take back: an incarnation that drains or has left stays out, missing targets stay in use, evacuations are neither ended nor revived. Changes returned by a watch are writes of the new history and apply at once. Then a complete listing decides.

--- a/host/src/query_host_details.hpp
+++ b/host/src/query_host_details.hpp
@@ -42,7 +42,7 @@
 
     int run();
 
-    void begin_listing() override;
+    void begin_listing(registry::listing_kind kind) override;
     void apply(registry::store_item const& item, time_point now) override;
     void end_listing(time_point now) override;
     void on_current(time_point now) override;
@@ -102,7 +102,9 @@
     asio::steady_timer sweep_timer_;
     asio::steady_timer gossip_timer_;
 
-    // Targets and evacuated zones found by the current listing of the store.
+    /// The listing of the store that has not ended, if any.
+    std::optional<registry::listing_kind> listing_;
+    // Targets and evacuated zones found by it.
     std::set<std::string, std::less<>> listed_targets_;
     std::set<std::string> listed_evacuations_;
 
--- a/host/src/query_host_store.cpp
+++ b/host/src/query_host_store.cpp
@@ -4,8 +4,9 @@
 namespace kumquatramp::host
 {
 
-void query_host::details::begin_listing()
+void query_host::details::begin_listing(registry::listing_kind kind)
 {
+    listing_ = kind;
     listed_targets_.clear();
     listed_evacuations_.clear();
 }
@@ -13,6 +14,7 @@
 void query_host::details::apply(registry::store_item const& item,
                                 time_point now)
 {
+    bool const restored = listing_ == registry::listing_kind::restored;
     store_change change = adapter_.decode(item);
     if (auto* unusable = std::get_if<unusable_entry>(&change))
     {
@@ -29,7 +31,8 @@
     else if (auto* record = std::get_if<serving::target_record>(&change))
     {
         listed_targets_.insert(record->id);
-        targets_.put(std::move(*record), now);
+        restored ? targets_.put_restored(std::move(*record), now)
+                 : targets_.put(std::move(*record), now);
     }
     else if (auto* gone = std::get_if<target_removed>(&change))
     {
@@ -39,7 +42,8 @@
     else if (auto* evacuated = std::get_if<zone_evacuated>(&change))
     {
         listed_evacuations_.insert(evacuated->zone);
-        targets_.evacuate(evacuated->zone, now);
+        restored ? targets_.evacuate_restored(evacuated->zone, now)
+                 : targets_.evacuate(evacuated->zone, now);
     }
     else if (auto* restored = std::get_if<zone_restored>(&change))
     {
@@ -50,8 +54,12 @@
 
 void query_host::details::end_listing(time_point now)
 {
-    targets_.retain(listed_targets_, now);
-    targets_.set_evacuated(listed_evacuations_, now);
+    if (listing_ == registry::listing_kind::complete)
+    {
+        targets_.retain(listed_targets_, now);
+        targets_.set_evacuated(listed_evacuations_, now);
+    }
+    listing_.reset();
     fleet_.set_ready(ready());
 }
 
--- a/registry/include/registry/store_follower.hpp
+++ b/registry/include/registry/store_follower.hpp
@@ -5,6 +5,7 @@
 #include <base/random_source.hpp>
 #include <base/time.hpp>
 #include <registry/store_item.hpp>
+#include <registry/store_sink.hpp>
 #include <serving/event_sink.hpp>
 #include <string>
 
@@ -12,7 +13,6 @@
 {
 
 class store_port;
-class store_sink;
 
 struct follower_options
 {
@@ -23,13 +23,18 @@
     /// Minimum time from an answer with changes to the next call, so that one
     /// call returns several changes when they are frequent.
     duration min_change_interval = 350ms;
+    /// Time after the store has come back from a copy within which what the
+    /// copy lacks is written again: three of the targets' reporting intervals,
+    /// with a margin.
+    duration restore_time = 5s;
 };
 
 /// Lists all items once, then watches for changes; lists again when the store
 /// no longer keeps the history needed, or when it has come back with another
-/// one, of which nothing that was received before is a part. Failed calls are
-/// repeated with exponential back-off; a waiting watch that the store cuts is
-/// repeated without. The items received stay in use while the store is
+/// one, of which nothing that was received before is a part. That listing is of
+/// kind `restored`, and a complete one follows after `restore_time`. Failed
+/// calls are repeated with exponential back-off; a waiting watch that the store
+/// cuts is repeated without. The items received stay in use while the store is
 /// unavailable.
 ///
 ///     store_follower follower(options, port, sink, random, log);
@@ -53,7 +58,7 @@
     /// An answer of any kind, also a refusal, states the era of the store's
     /// history. To be called before the answer itself is handled, which is then
     /// ignored if it continues another history.
-    void on_era(std::uint64_t era);
+    void on_era(std::uint64_t era, time_point now);
     /// Handles the answer of the call in progress.
     void on_answer(store_answer const& answer, time_point now);
     /// Handles the failure of the call in progress; `cause` goes to the log.
@@ -86,7 +91,7 @@
 private:
     /// The store's revisions no longer continue those received: makes a listing
     /// the next call.
-    void start_over(std::string const& evidence);
+    void start_over(std::string const& evidence, time_point now);
     void apply_page(store_answer const& answer, time_point now);
     void apply_changes(store_answer const& answer, time_point now);
     /// Makes the next call due a jittered back-off after the start of the
@@ -103,6 +108,10 @@
     bool call_in_progress_ = false; ///< a call has been started and not ended
     /// The answer of the call in progress continues a history that has ended.
     bool answer_outdated_ = false;
+    /// The store was restored and has not been listed completely since.
+    bool restored_ = false;
+    time_point trusted_at_{}; ///< if restored_: time of the complete listing
+    listing_kind listing_kind_ = listing_kind::complete;
     bool paused_ = false;
     bool synchronized_ = false; ///< a listing has been completed
     std::string last_key_; ///< of the listing in progress; empty: first page
--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -76,39 +76,51 @@
     call_started_ = now;
     next_call_ = never;
     ++calls_;
+    if (restored_ && now >= trusted_at_ &&
+        (!listing_ || listing_kind_ == listing_kind::restored))
+    {
+        listing_ = true;
+        last_key_.clear();
+    }
     if (!listing_)
     {
+        duration const wait = watch_wait(options_.contact_bound, in_contact());
         port_.watch(revision_,
-                    watch_wait(options_.contact_bound, in_contact()));
+                    restored_ ? std::min(wait, trusted_at_ - now) : wait);
         return;
     }
     if (last_key_.empty())
     {
-        sink_.begin_listing();
+        listing_kind_ = restored_ && now < trusted_at_ ? listing_kind::restored
+                                                       : listing_kind::complete;
+        sink_.begin_listing(listing_kind_);
     }
     port_.list(last_key_);
 }
 
-void store_follower::on_era(std::uint64_t era)
+void store_follower::on_era(std::uint64_t era, time_point now)
 {
     if (era_ != 0 && era != era_)
     {
         start_over("era " + std::to_string(era) + " after " +
-                   std::to_string(era_));
+                       std::to_string(era_),
+                   now);
     }
     era_ = era;
 }
 
-void store_follower::start_over(std::string const& evidence)
+void store_follower::start_over(std::string const& evidence, time_point now)
 {
     ++replaced_histories_;
     log_.note("store.history_replaced", "store",
               evidence + "; changes received up to revision " +
                   std::to_string(revision_) + "; listing again");
-    bool const first_page = listing_ && last_key_.empty();
-    answer_outdated_ = call_in_progress_ && !first_page;
+    answer_outdated_ = call_in_progress_;
     listing_ = true;
     last_key_.clear();
+    // A host without an earlier listing knows nothing better than the copy.
+    restored_ = synchronized_;
+    trusted_at_ = now + options_.restore_time;
 }
 
 void store_follower::on_answer(store_answer const& answer, time_point now)
@@ -158,9 +170,11 @@
     listing_ = false;
     sink_.end_listing(now);
     sink_.on_current(now);
-    if (!synchronized_)
+    bool const trusted = listing_kind_ == listing_kind::complete;
+    if (!synchronized_ || (restored_ && trusted))
     {
         synchronized_ = true;
+        restored_ = restored_ && !trusted;
         log_.note("store.synchronized", "store",
                   "revision " + std::to_string(revision_));
     }
@@ -170,7 +184,7 @@
 {
     if (answer.revision < revision_)
     {
-        start_over("revision " + std::to_string(answer.revision));
+        start_over("revision " + std::to_string(answer.revision), now);
         next_call_ = now;
         return;
     }
@@ -228,6 +242,7 @@
     port_.cancel();
     call_in_progress_ = false;
     synchronized_ = false;
+    restored_ = false;
 }
 
 void store_follower::resume(time_point now)
--- a/serving/include/serving/target_table.hpp
+++ b/serving/include/serving/target_table.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <serving/departure_memory.hpp>
 #include <serving/target.hpp>
 #include <serving/target_states.hpp>
 #include <set>
@@ -38,6 +39,11 @@
     /// Adds or updates a target that the registry lists.
     void put(target_record record, time_point now);
 
+    /// Adds or updates a target by an entry of a registry that was restored
+    /// from a copy. The entry may be older than what is known: it does not
+    /// bring back an incarnation that drains or has left.
+    void put_restored(target_record record, time_point now);
+
     /// The registry no longer lists this target. A draining target is dropped,
     /// others become unlisted.
     void remove(std::string_view id, time_point now);
@@ -49,6 +55,9 @@
     /// Stops sends to the targets of a zone until end_evacuation.
     void evacuate(std::string const& zone, time_point now);
     void end_evacuation(std::string const& zone, time_point now);
+    /// Like evacuate, by an entry of a registry that was restored from a copy:
+    /// has no effect if an evacuation of the zone has recently ended.
+    void evacuate_restored(std::string const& zone, time_point now);
     /// Replaces the set of evacuated zones.
     void set_evacuated(std::set<std::string> const& zones, time_point now);
 
@@ -128,7 +137,8 @@
                                  std::span<target const* const> tried,
                                  bool for_hedge, time_point now);
     double expected_ms(target const& t, double usual_ms, time_point now);
-    void drop(std::shared_ptr<target> const& t, std::string_view cause);
+    void drop(std::shared_ptr<target> const& t, std::string_view cause,
+              time_point now);
 
     std::string own_zone_;
     duration unlisted_hold_;
@@ -138,6 +148,7 @@
     std::map<std::string, std::vector<std::shared_ptr<target>>, std::less<>>
         by_service_;
     std::set<std::string> evacuated_;
+    departure_memory departures_;
     /// Start of the incarnation that announced its shutdown, by target id.
     std::unordered_map<std::string, std::int64_t> shutting_down_;
 };
--- a/serving/src/target_table.cpp
+++ b/serving/src/target_table.cpp
@@ -68,7 +68,7 @@
          known->record.service != record.service))
     {
         // A new incarnation under an old id: earlier state does not apply.
-        drop(known, "replaced by a new incarnation");
+        drop(known, "replaced by a new incarnation", now);
         known.reset();
     }
     listing const listed = record.draining ? listing::draining : listing::ready;
@@ -97,6 +97,24 @@
     known->record = std::move(record);
 }
 
+void target_table::put_restored(target_record record, time_point now)
+{
+    auto const is_outdated_for = [&](target_record const& known)
+    {
+        return record.incarnation_start_ms < known.incarnation_start_ms ||
+               (record.incarnation_start_ms == known.incarnation_start_ms &&
+                !record.draining);
+    };
+    auto const found = by_id_.find(record.id);
+    bool const outdated = found == by_id_.end()
+                              ? departures_.has_left(record)
+                              : is_outdated_for(found->second->record);
+    if (!outdated)
+    {
+        put(std::move(record), now);
+    }
+}
+
 void target_table::remove(std::string_view id, time_point now)
 {
     auto const found = by_id_.find(std::string(id));
@@ -107,7 +125,7 @@
     target& t = *found->second;
     if (t.listed == listing::draining || t.shutting_down)
     {
-        drop(found->second, "drained");
+        drop(found->second, "drained", now);
         by_id_.erase(found);
         return;
     }
@@ -145,10 +163,19 @@
     }
 }
 
-void target_table::end_evacuation(std::string const& zone, time_point)
+void target_table::evacuate_restored(std::string const& zone, time_point now)
+{
+    if (!departures_.has_ended(zone))
+    {
+        evacuate(zone, now);
+    }
+}
+
+void target_table::end_evacuation(std::string const& zone, time_point now)
 {
     if (evacuated_.erase(zone) > 0)
     {
+        departures_.add_evacuation(zone, now);
         log_.note("zone.back", zone, "its targets may receive requests again");
     }
 }
@@ -171,9 +198,10 @@
 }
 
 void target_table::drop(std::shared_ptr<target> const& t,
-                        std::string_view cause)
+                        std::string_view cause, time_point now)
 {
     t->listed = listing::gone;
+    departures_.add_target(t->record, now);
     auto& replicas = by_service_[t->record.service];
     std::erase(replicas, t);
     log_.note("target.gone", t->record.id, cause);
@@ -181,6 +209,7 @@
 
 void target_table::tick(time_point now)
 {
+    departures_.tick(now);
     for (auto it = by_id_.begin(); it != by_id_.end();)
     {
         auto const& t = it->second;
@@ -195,7 +224,7 @@
         if (t->listed == listing::unlisted &&
             now - t->unlisted_since >= unlisted_hold_)
         {
-            drop(t, "registry entry did not return within the hold time");
+            drop(t, "registry entry did not return within the hold time", now);
             it = by_id_.erase(it);
             continue;
         }
--- a/serving/tests/target_table_test.cpp
+++ b/serving/tests/target_table_test.cpp
@@ -33,6 +33,93 @@
 
 } // namespace
 
+// Guards against requests to targets that left or drain because a registry that
+// was restored from a copy still lists them as ready.
+TEST_CASE("a restored registry does not bring back targets that left or drain")
+{
+    engine_fixture fixture;
+    target_record const record{.id = "i-1",
+                               .service = "s",
+                               .address = "10.0.0.1:80",
+                               .zone = "zone-a",
+                               .incarnation_start_ms = 5};
+    target_record draining = record;
+    draining.draining = true;
+    fixture.table.put(record, fixture.now);
+    SECTION("it drains")
+    {
+        fixture.table.put(draining, fixture.now);
+    }
+    SECTION("it drained and left")
+    {
+        fixture.table.put(draining, fixture.now);
+        fixture.table.remove("i-1", fixture.now);
+    }
+    SECTION("it left without draining")
+    {
+        fixture.table.remove("i-1", fixture.now);
+        fixture.now += 10s;
+        fixture.table.tick(fixture.now);
+        REQUIRE(fixture.table.size() == 0);
+    }
+    fixture.table.put_restored(record, fixture.now);
+    CHECK(chosen(fixture) == "none");
+    target_record older = draining;
+    older.incarnation_start_ms = 4;
+    fixture.table.put_restored(older, fixture.now);
+    CHECK(chosen(fixture) == "none");
+    target_record newer = record;
+    newer.incarnation_start_ms = 6;
+    fixture.table.put_restored(newer, fixture.now);
+    CHECK(chosen(fixture) == "zone-a");
+    fixture.table.put_restored(older, fixture.now);
+    CHECK(chosen(fixture) == "zone-a");
+}
+
+// Guards against a target that is never used again although it reports to the
+// registry itself once more.
+TEST_CASE("a target that has left returns by its own report")
+{
+    engine_fixture fixture;
+    target_record const record{.id = "i-1",
+                               .service = "s",
+                               .address = "10.0.0.1:80",
+                               .zone = "zone-a"};
+    fixture.table.put(record, fixture.now);
+    fixture.table.remove("i-1", fixture.now);
+    fixture.now += 10s;
+    fixture.table.tick(fixture.now);
+    SECTION("as a change")
+    {
+        fixture.table.put(record, fixture.now);
+    }
+    SECTION("as an entry of a copy that is newer than the departure")
+    {
+        fixture.now += 20s;
+        fixture.table.tick(fixture.now);
+        fixture.table.put_restored(record, fixture.now);
+    }
+    CHECK(chosen(fixture) == "zone-a");
+}
+
+// Guards against a zone that is evacuated again because a registry that was
+// restored from a copy still says so.
+TEST_CASE("a restored registry does not revive an evacuation")
+{
+    engine_fixture fixture;
+    fixture.table.put({.id = "i-1",
+                       .service = "s",
+                       .address = "10.0.0.1:80",
+                       .zone = "zone-a"},
+                      fixture.now);
+    fixture.table.evacuate("zone-a", fixture.now);
+    fixture.table.end_evacuation("zone-a", fixture.now);
+    fixture.table.evacuate_restored("zone-a", fixture.now);
+    CHECK(chosen(fixture) == "zone-a");
+    fixture.table.evacuate("zone-a", fixture.now);
+    CHECK(chosen(fixture) == "none");
+}
+
 // Guards against requests to a target that said in an answer that it shuts
 // down.
 TEST_CASE("a target that announces its shutdown gets no further request")
