A target known only from a restored store is a last resort

What callers would see: requests to a target that has left, from a host that started after the target's departure and before the store came back from a copy that still lists it.

The host had listed the store without the target, so it had no departure to remember, and took it from the copy as an ordinary one.

Such a target is now sent to only if no other target of the service can serve, until its own report or the complete listing confirms it. It is not dropped meanwhile, so that a host whose targets have all been replaced is not left without any.

--- a/serving/include/serving/target.hpp
+++ b/serving/include/serving/target.hpp
@@ -24,6 +24,9 @@
     target_record record;
     listing listed = listing::ready;
     time_point unlisted_since = never;
+    /// Known only from a registry that was restored from a copy: it may have
+    /// left before this host learned of it.
+    bool unconfirmed = false;
     time_point cold_until{};
 
     /// No connection could be established at the last try. The next one may
@@ -67,6 +70,12 @@
     int reported_busy = 0;
     time_point reported_at{};
 
+    /// Whether to send to it only if no other target of the service can serve.
+    bool last_resort() const
+    {
+        return unconfirmed || listed == listing::unlisted;
+    }
+
     bool usable() const { return !resting && usable_after_rest(); }
 
     bool usable_after_rest() const
--- a/serving/include/serving/target_table.hpp
+++ b/serving/include/serving/target_table.hpp
@@ -41,7 +41,8 @@
 
     /// Adds or updates a target by an entry of a registry that was restored
     /// from a copy. The entry may be older than what is known: it does not
-    /// bring back an incarnation that drains or has left.
+    /// bring back an incarnation that drains or has left, and a target that was
+    /// not known is a last resort until put() confirms it.
     void put_restored(target_record record, time_point now);
 
     /// The registry no longer lists this target. A draining target is dropped,
--- a/serving/src/replica_choice.cpp
+++ b/serving/src/replica_choice.cpp
@@ -28,7 +28,7 @@
 
 /// Penalties that rank targets which should be chosen only as a last resort.
 constexpr double overdue_penalty_ms = 400.0;
-constexpr double unlisted_penalty_ms = 1500.0;
+constexpr double last_resort_penalty_ms = 1500.0;
 constexpr double avoided_penalty_ms = 3000.0;
 
 } // namespace
@@ -65,9 +65,9 @@
     {
         ms += overdue_penalty_ms;
     }
-    if (t.listed == listing::unlisted)
+    if (t.last_resort())
     {
-        ms += unlisted_penalty_ms;
+        ms += last_resort_penalty_ms;
     }
     if (now < t.avoid_until)
     {
@@ -96,9 +96,9 @@
         {
             continue;
         }
-        if (for_hedge && (t->overdue > 0 || now < t->avoid_until ||
-                          t->listed == listing::unlisted ||
-                          t->admitted_share < min_hedge_admitted_share))
+        if (for_hedge &&
+            (t->overdue > 0 || now < t->avoid_until || t->last_resort() ||
+             t->admitted_share < min_hedge_admitted_share))
         {
             continue;
         }
--- a/serving/src/target_table.cpp
+++ b/serving/src/target_table.cpp
@@ -89,6 +89,7 @@
                            announced->second == record.incarnation_start_ms;
     known->listed = listed;
     known->unlisted_since = never;
+    known->unconfirmed = false;
     known->misdirected = false;
     if (record.warmup_left > duration::zero())
     {
@@ -106,13 +107,15 @@
                 !record.draining);
     };
     auto const found = by_id_.find(record.id);
-    bool const outdated = found == by_id_.end()
-                              ? departures_.has_left(record)
-                              : is_outdated_for(found->second->record);
-    if (!outdated)
+    bool const known = found != by_id_.end();
+    if (known ? is_outdated_for(found->second->record)
+              : departures_.has_left(record))
     {
-        put(std::move(record), now);
+        return;
     }
+    std::string const id = record.id;
+    put(std::move(record), now);
+    by_id_.at(id)->unconfirmed = !known;
 }
 
 void target_table::remove(std::string_view id, time_point now)
@@ -438,7 +441,7 @@
         int& count = t->misdirected ? counts.misdirected
                      : t->shutting_down || t->listed == listing::draining
                          ? counts.draining
-                     : t->listed == listing::unlisted      ? counts.unlisted
+                     : t->last_resort()                    ? counts.unlisted
                      : evacuated_.contains(t->record.zone) ? counts.evacuated
                      : t->resting                          ? counts.resting
                      : now < t->avoid_until                ? counts.failing
--- a/serving/tests/target_table_test.cpp
+++ b/serving/tests/target_table_test.cpp
@@ -76,6 +76,39 @@
     CHECK(chosen(fixture) == "zone-a");
 }
 
+// Guards against requests to a target that left before this host could learn of
+// it, and against a service without any target when all are new to this host.
+TEST_CASE("a target known only from a copy is a last resort")
+{
+    engine_fixture fixture;
+    fixture.table.put({.id = "i-1",
+                       .service = "s",
+                       .address = "10.0.0.1:80",
+                       .zone = "zone-b"},
+                      fixture.now);
+    target_record const record{.id = "i-2",
+                               .service = "s",
+                               .address = "10.0.0.2:80",
+                               .zone = "zone-a"};
+    fixture.table.put_restored(record, fixture.now);
+    for (int i = 0; i < 100; ++i)
+    {
+        CHECK(chosen(fixture) == "zone-b");
+    }
+    SECTION("it is used if there is no other")
+    {
+        fixture.table.remove("i-1", fixture.now);
+        fixture.now += 4s;
+        fixture.table.tick(fixture.now);
+        CHECK(chosen(fixture) == "zone-a");
+    }
+    SECTION("it is an ordinary target once the registry confirms it")
+    {
+        fixture.table.put(record, fixture.now);
+        CHECK(chosen(fixture) == "zone-a");
+    }
+}
+
 // Guards against a target that is never used again although it reports to the
 // registry itself once more.
 TEST_CASE("a target that has left returns by its own report")
