Count the restore time from the first listing of a restored store

What callers would see: a copy that is taken for the truth too early. A store that has stated its new era with a refusal and is then away for longer than the restore time could not be written again, and the next listing counted as complete. The time now begins when a listing has ended.

registry_tests "the restore time begins with the first listing of a restored store" would find a complete listing before; not run on the code before.

--- a/host/src/query_host.cpp
+++ b/host/src/query_host.cpp
@@ -83,8 +83,7 @@
                { return answer_control(method, target); })
     , store_(adapter.connect_store(
                  loop_, settings_.store,
-                 {.era = [this](std::uint64_t era)
-                  { follower_.on_era(era, time_.now()); },
+                 {.era = [this](std::uint64_t era) { follower_.on_era(era); },
                   .answered =
                       [this](registry::store_answer const& a)
                   {
--- a/host/src/query_host_store.cpp
+++ b/host/src/query_host_store.cpp
@@ -22,7 +22,7 @@
     }
     else if (auto* invalid = std::get_if<unusable_configuration>(&change))
     {
-        refuse_configuration("unreadable", invalid->reason);
+        refuse_configuration("unknown", invalid->reason);
     }
     else if (auto* data = std::get_if<serving::catalogue_data>(&change))
     {
--- a/registry/include/registry/store_follower.hpp
+++ b/registry/include/registry/store_follower.hpp
@@ -23,9 +23,9 @@
     /// Minimum time from an answer with changes to the next call, so that one
     /// call returns several changes when they are frequent.
     duration min_change_interval = 350ms;
-    /// Time after the store has come back from a copy within which what the
-    /// copy lacks is written again: three of the targets' reporting intervals,
-    /// with a margin.
+    /// Time after the first listing of a store that has come back from a copy,
+    /// within which what the copy lacks is written again: three of the targets'
+    /// reporting intervals, with a margin.
     duration restore_time = 5s;
 };
 
@@ -58,7 +58,7 @@
     /// An answer of any kind, also a refusal, states the era of the store's
     /// history. To be called before the answer itself is handled, which is then
     /// ignored if it continues another history.
-    void on_era(std::uint64_t era, time_point now);
+    void on_era(std::uint64_t era);
     /// Handles the answer of the call in progress.
     void on_answer(store_answer const& answer, time_point now);
     /// Handles the failure of the call in progress; `cause` goes to the log.
@@ -91,7 +91,7 @@
 private:
     /// The store's revisions no longer continue those received: makes a listing
     /// the next call.
-    void start_over(std::string const& evidence, time_point now);
+    void start_over(std::string const& evidence);
     void apply_page(store_answer const& answer, time_point now);
     void apply_changes(store_answer const& answer, time_point now);
     /// Makes the next call due a jittered back-off after the start of the
@@ -110,7 +110,9 @@
     bool answer_outdated_ = false;
     /// The store was restored and has not been listed completely since.
     bool restored_ = false;
-    time_point trusted_at_{}; ///< if restored_: time of the complete listing
+    /// If restored_: time of the complete listing; `never` until a listing has
+    /// shown that the store can be written again.
+    time_point trusted_at_{};
     listing_kind listing_kind_ = listing_kind::complete;
     bool paused_ = false;
     bool synchronized_ = false; ///< a listing has been completed
--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -98,18 +98,17 @@
     port_.list(last_key_);
 }
 
-void store_follower::on_era(std::uint64_t era, time_point now)
+void store_follower::on_era(std::uint64_t era)
 {
     if (era_ != 0 && era != era_)
     {
         start_over("era " + std::to_string(era) + " after " +
-                       std::to_string(era_),
-                   now);
+                   std::to_string(era_));
     }
     era_ = era;
 }
 
-void store_follower::start_over(std::string const& evidence, time_point now)
+void store_follower::start_over(std::string const& evidence)
 {
     ++replaced_histories_;
     log_.note("store.history_replaced", "store",
@@ -120,7 +119,7 @@
     last_key_.clear();
     // A host without an earlier listing knows nothing better than the copy.
     restored_ = synchronized_;
-    trusted_at_ = now + options_.restore_time;
+    trusted_at_ = never;
 }
 
 void store_follower::on_answer(store_answer const& answer, time_point now)
@@ -171,6 +170,10 @@
     sink_.end_listing(now);
     sink_.on_current(now);
     bool const trusted = listing_kind_ == listing_kind::complete;
+    if (restored_ && trusted_at_ == never)
+    {
+        trusted_at_ = now + options_.restore_time;
+    }
     if (!synchronized_ || (restored_ && trusted))
     {
         synchronized_ = true;
@@ -184,7 +187,7 @@
 {
     if (answer.revision < revision_)
     {
-        start_over("revision " + std::to_string(answer.revision), now);
+        start_over("revision " + std::to_string(answer.revision));
         next_call_ = now;
         return;
     }
--- a/registry/tests/restorable_store.cpp
+++ b/registry/tests/restorable_store.cpp
@@ -115,7 +115,7 @@
     call_.reset();
     if (states_era && !away_)
     {
-        follower.on_era(era_, now);
+        follower.on_era(era_);
     }
     if (failed)
     {
--- a/registry/tests/store_follower_test.cpp
+++ b/registry/tests/store_follower_test.cpp
@@ -235,21 +235,21 @@
           "it")
 {
     fixture f;
-    f.follower.on_era(3, f.now);
+    f.follower.on_era(3);
     f.synchronize();
     SECTION("changes: they are not applied")
     {
-        f.follower.on_era(4, f.now);
+        f.follower.on_era(4);
         f.follower.on_answer({{{"x", "", false}}, 12, false}, f.now);
     }
     SECTION("a refusal")
     {
-        f.follower.on_era(4, f.now);
+        f.follower.on_era(4);
         f.follower.on_failure(store_failure::busy, "busy", f.now);
     }
     SECTION("lost history")
     {
-        f.follower.on_era(4, f.now);
+        f.follower.on_era(4);
         f.follower.on_failure(store_failure::history_lost, "", f.now);
     }
     SECTION("a later page of a listing")
@@ -260,13 +260,13 @@
         f.follower.tick(f.now);
         f.port.calls.clear();
         f.sink.events.clear();
-        f.follower.on_era(4, f.now);
+        f.follower.on_era(4);
         f.follower.on_answer({{{"x", "", false}}, 12, false}, f.now);
     }
     CHECK(f.sink.events.empty());
     f.advance(1s);
     CHECK(f.port.calls == std::vector<std::string>{"list "});
-    f.follower.on_era(4, f.now);
+    f.follower.on_era(4);
     f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
     CHECK(f.sink.events ==
           std::vector<std::string>{"begin restored", "+b", "end"});
@@ -279,11 +279,11 @@
 TEST_CASE("a first page that states another era is requested again")
 {
     fixture f;
-    f.follower.on_era(3, f.now);
+    f.follower.on_era(3);
     f.synchronize();
     f.follower.on_failure(store_failure::history_lost, "", f.now);
     f.follower.tick(f.now);
-    f.follower.on_era(4, f.now);
+    f.follower.on_era(4);
     f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
     f.follower.tick(f.now);
     CHECK(f.sink.events == std::vector<std::string>{"begin", "begin restored"});
@@ -294,10 +294,10 @@
 TEST_CASE("a restored store is listed completely after the restore time")
 {
     fixture f;
-    f.follower.on_era(3, f.now);
+    f.follower.on_era(3);
     f.synchronize();
     time_point const returned = f.now;
-    f.follower.on_era(4, f.now);
+    f.follower.on_era(4);
     f.follower.on_failure(store_failure::history_lost, "", f.now);
     f.follower.tick(f.now);
     f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
@@ -319,6 +319,8 @@
         f.follower.on_failure(store_failure::unavailable, "", f.now);
         f.now += 2 * restore_time;
     }
+    CHECK(f.sink.events ==
+          std::vector<std::string>{"begin restored", "+b", "end"});
     f.sink.events.clear();
     f.follower.tick(f.now);
     f.follower.on_answer({{{"c", "", false}}, 9, false}, f.now);
@@ -328,14 +330,34 @@
     CHECK(f.port.last_wait > 1s);
 }
 
+// Guards against a copy that counts as the truth because the store was away for
+// longer than the restore time before anything could be written again.
+TEST_CASE("the restore time begins with the first listing of a restored store")
+{
+    fixture f;
+    f.follower.on_era(3);
+    f.synchronize();
+    f.follower.on_era(4);
+    for (int i = 0; i < 10; ++i)
+    {
+        f.follower.on_failure(store_failure::unavailable, "", f.now);
+        f.advance(2s);
+    }
+    f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
+    CHECK(f.sink.events.back() == "end");
+    CHECK(f.sink.events.front() == "begin restored");
+    f.follower.tick(f.now);
+    CHECK(f.port.calls.back() == "watch 5");
+}
+
 TEST_CASE("a host that starts takes a restored store as it is")
 {
     fixture f;
-    f.follower.on_era(3, f.now);
+    f.follower.on_era(3);
     f.follower.tick(f.now);
     f.follower.on_answer({{{"a", "", false}}, 10, true}, f.now);
     f.follower.tick(f.now);
-    f.follower.on_era(4, f.now);
+    f.follower.on_era(4);
     f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
     f.follower.tick(f.now);
     f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
@@ -348,14 +370,14 @@
 TEST_CASE("a replaced history is logged with its evidence")
 {
     fixture f;
-    f.follower.on_era(3, f.now);
+    f.follower.on_era(3);
     f.synchronize();
     CHECK(f.follower.replaced_histories() == 0);
     SECTION("by the era that an answer states")
     {
-        f.follower.on_era(3, f.now);
+        f.follower.on_era(3);
         CHECK(f.follower.replaced_histories() == 0);
-        f.follower.on_era(4, f.now);
+        f.follower.on_era(4);
         CHECK(f.follower.replaced_histories() == 1);
     }
     SECTION("by a revision below those received")
