An answer without the request's id answers nothing

Cause: an empty id matched any request. Targets echo the id in all their answers, so what bears none was asked for by nobody.

Now only the request's own id matches. Any other answer closes the connection and leaves the outcome unknown: an idempotent request goes to another target, any other ends with 502.

--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -258,9 +258,8 @@
                                     http_message const& answer)
 {
     auto const send = sends_.find(attempt);
-    std::string_view const id = answer.header(wire_.request_id);
     return send != sends_.end() &&
-           (id.empty() || id == send->second.request_id);
+           answer.header(wire_.request_id) == send->second.request_id;
 }
 
 void front_service::on_end(serving::attempt_handle attempt,
--- a/host/tests/front_service_test.cpp
+++ b/host/tests/front_service_test.cpp
@@ -1,6 +1,7 @@
 // front_service between real sockets: what clients and targets exchange through
 // it.
 #include "front_fixture.hpp"
+#include <array>
 #include <catch2/catch.hpp>
 
 namespace kumquatramp::host
@@ -38,6 +39,45 @@
     CHECK(answer.substr(0, 12) == "HTTP/1.1 200");
 }
 
+// Guards against an order that is executed twice or answered with another one's
+// answer: an extra answer of a faulty target, without an id or with another
+// one, arrives where the next answer on its connection is due.
+TEST_CASE("an answer without the request's id answers nothing")
+{
+    front_fixture f;
+    std::array<testing::scripted_target*, 2> const targets{&f.add_target("t1"),
+                                                           &f.add_target("t2")};
+    auto client = f.connect_client();
+    std::string const id_line =
+        GENERATE("", "X-Request: id-0\r\n", "X-Request: \r\n");
+    std::string const kind =
+        GENERATE("503 Busy\r\nX-Refused: 1", "421 Misdirected",
+                 "200 OK\r\nX-Stamp: s", "500 Error\r\nX-Stamp: s");
+    std::string const extra =
+        "HTTP/1.1 " + kind + "\r\n" + id_line + "Content-Length: 0\r\n\r\n";
+    CAPTURE(extra);
+    bool const once = GENERATE(true, false);
+    std::string const path = once ? "/once/x" : "/read/x";
+    client.send(request(once ? "POST" : "GET", path, "id-1"));
+    std::optional<std::size_t> at;
+    std::size_t chosen = 1;
+    for (int turn = 0; turn < 100 && !at; ++turn)
+    {
+        chosen = 1 - chosen;
+        at = f.await_request(*targets[chosen], path, 10);
+    }
+    REQUIRE(at);
+    targets[chosen]->connections[*at].send(extra);
+    auto const next = f.await_request(*targets[1 - chosen], path, 200);
+    CHECK(next.has_value() == !once);
+    if (next)
+    {
+        targets[1 - chosen]->connections[*next].send(served("id-1"));
+    }
+    auto const answer = client.receive_until(f.loop, "\r\n\r\n");
+    CHECK(answer.substr(9, 3) == (once ? "502" : "200"));
+}
+
 // Guards against a host whose memory grows with every request that it has
 // answered, until it is killed.
 TEST_CASE("a request that has ended is not held")
