List after a watch whose answer cannot be used

Cause: the answer to its watch was over the limit of 16 MiB, was thrown away and asked for again, unchanged, until the store had dropped that history.

Such an answer, and one that cannot be read or that ends or times out within it, is now followed by a listing, which holds only the latest version of each item in pages of bounded size. The pauses are those of other failures.

--- a/eventloop/include/eventloop/call_outcome.hpp
+++ b/eventloop/include/eventloop/call_outcome.hpp
@@ -10,8 +10,8 @@
     answered,           ///< a complete response arrived
     unconnected,        ///< no connection was established
     closed,             ///< the connection ended before the first response byte
-    timed_out,          ///< no complete response within the timeout
-    malformed_response, ///< also: the connection ended within the response
+    timed_out,          ///< no response byte within the timeout
+    malformed_response, ///< also: too large, or ended or timed out within it
     cancelled,          ///< by this host
 };
 
--- a/eventloop/src/http_client.cpp
+++ b/eventloop/src/http_client.cpp
@@ -45,7 +45,7 @@
             {
                 if (!e && call == self->call_count_ && self->done_)
                 {
-                    self->fail(call_outcome::timed_out);
+                    self->fail(self->without_response(call_outcome::timed_out));
                 }
             });
         if (connected_)
@@ -84,6 +84,14 @@
     }
 
 private:
+    /// `outcome` if no byte of a response has arrived.
+    call_outcome without_response(call_outcome outcome) const
+    {
+        return reader_.state() == message_reader::progress::idle
+                   ? outcome
+                   : call_outcome::malformed_response;
+    }
+
     void send()
     {
         asio::async_write(
@@ -123,9 +131,7 @@
         }
         if (failed || !done_)
         {
-            fail(reader_.state() == message_reader::progress::idle
-                     ? call_outcome::closed
-                     : call_outcome::malformed_response);
+            fail(without_response(call_outcome::closed));
             return;
         }
         std::size_t const used = reader_.feed({buffer.data(), size});
--- a/eventloop/tests/http_client_test.cpp
+++ b/eventloop/tests/http_client_test.cpp
@@ -78,6 +78,12 @@
         server.close();
         CHECK(f.outcome() == call_outcome::malformed_response);
     }
+    SECTION("timed out within the response")
+    {
+        auto server = f.accept();
+        server.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+        CHECK(f.outcome() == call_outcome::malformed_response);
+    }
     SECTION("no answer")
     {
         auto server = f.accept();
--- a/registry/include/registry/store_item.hpp
+++ b/registry/include/registry/store_item.hpp
@@ -42,6 +42,7 @@
     interrupted,  ///< the connection ended before the first byte of an answer
     busy,         ///< call rate limit exceeded
     history_lost, ///< the requested changes are no longer kept
+    unusable,     ///< the answer is too large or cannot be read
 };
 
 } // namespace kumquatramp::registry
--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -227,6 +227,15 @@
     {
         log_.note("store.lost", "store", cause);
     }
+    if (failure == store_failure::unusable && !listing_)
+    {
+        // The same watch would get the same answer. A listing holds only the
+        // latest version of each item, in pages of bounded size.
+        log_.note("store.unusable_changes", "store",
+                  std::string(cause) + "; listing instead");
+        listing_ = true;
+        last_key_.clear();
+    }
     duration const backoff = std::min<duration>(
         initial_backoff * (1 << std::min(failures_ - 1, 6)), max_backoff);
     schedule_retry(backoff, now);
--- a/registry/tests/store_follower_test.cpp
+++ b/registry/tests/store_follower_test.cpp
@@ -165,6 +165,45 @@
                      "store.regained") == 1);
 }
 
+// Guards against a host that asks for the same changes again and again because
+// their answer is too large or cannot be read, and learns of nothing else.
+TEST_CASE("a watch whose answer cannot be used is followed by a listing")
+{
+    fixture f;
+    f.synchronize();
+    for (int i = 0; i < 5; ++i)
+    {
+        f.now += 400ms;
+        f.follower.on_failure(store_failure::unusable, "too large", f.now);
+        f.now = std::max(f.now, f.follower.next_due());
+        f.follower.tick(f.now);
+        CHECK(f.port.calls.back() == "list ");
+        f.now += 400ms;
+        f.follower.on_answer({{{"a", "", false}}, 30, false}, f.now);
+        f.follower.tick(f.now);
+        CHECK(f.port.calls.back() == "watch 30");
+    }
+}
+
+// Guards against calls without a pause to a store whose answers can never be
+// used.
+TEST_CASE("unusable answers are not requested again without a pause")
+{
+    fixture f;
+    f.synchronize();
+    time_point const begin = f.now;
+    int calls = 0;
+    while (f.now < begin + 10s)
+    {
+        f.now += 1ms;
+        f.follower.on_failure(store_failure::unusable, "malformed", f.now);
+        f.now = std::max(f.now, f.follower.next_due());
+        f.follower.tick(f.now);
+        ++calls;
+    }
+    CHECK(calls <= 20);
+}
+
 // Guards against a host that lacks new configurations for longer than the
 // contact bound after the answer to its watch was lost.
 TEST_CASE("a watch whose answer is lost is repeated within the contact bound")
