Leave out the body of every response to HEAD

Cause: whoever wrote an answer decided whether it has a body, and only relayed answers asked for the method.

The connection to the client now leaves out the body of every response to HEAD, also of refusals once the request's head has been read: one place for 404, 502, 503, 504, readiness, directory, status and metrics.

--- a/eventloop/include/eventloop/http_server.hpp
+++ b/eventloop/include/eventloop/http_server.hpp
@@ -70,6 +70,7 @@
     /// Sends a complete serialized response. With `close` the connection is
     /// closed after it, which the response should announce with
     /// "Connection: close". Ignored if the client has disconnected.
+    /// The body of a response to HEAD is left out.
     void respond(exchange_id exchange, std::string bytes, bool close);
 
     /// From now on every connection is closed after its next response.
--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -39,6 +39,8 @@
 /// of its response for this long.
 constexpr duration max_unread_time = 5s;
 
+constexpr std::string_view head_method = "HEAD";
+
 } // namespace
 
 server_connection::server_connection(http_server& server,
@@ -303,6 +305,7 @@
         exchange_ = ++server_.last_exchange_;
         server_.exchanges_.emplace(exchange_, this);
         close_after_response_ = !reader_.message().keep_alive;
+        head_request_ = reader_.message().method == head_method;
         // From here on the handler accounts for the request.
         charge_.resize(held_bytes());
         server_.handler_.on_request(exchange_, reader_.message());
@@ -319,8 +322,9 @@
 void server_connection::refuse(error_kind kind)
 {
     close_after_response_ = true;
+    head_request_ = reader_.message().method == head_method;
     drop_input();
-    write(server_.handler_.rejection(kind));
+    write_response(server_.handler_.rejection(kind));
 }
 
 void server_connection::drop_input()
@@ -330,6 +334,19 @@
     charge_.resize(std::min(charge_.bytes(), connection_bytes));
 }
 
+void server_connection::write_response(std::string bytes)
+{
+    if (head_request_)
+    {
+        constexpr std::string_view head_end = "\r\n\r\n";
+        if (auto const end = bytes.find(head_end); end != std::string::npos)
+        {
+            bytes.resize(end + head_end.size());
+        }
+    }
+    write(std::move(bytes));
+}
+
 void server_connection::respond(std::string bytes, bool close)
 {
     server_.exchanges_.erase(exchange_);
@@ -338,7 +355,7 @@
     reader_.reset();
     continue_sent_ = false;
     phase_start_ = server_.time_.now();
-    write(std::move(bytes));
+    write_response(std::move(bytes));
     if (!writing_)
     {
         process();
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -88,6 +88,8 @@
     void drop_input();
     bool is_overdue(time_point now, serving::edge_limits const& limits) const;
     void write(std::string bytes);
+    /// Writes a response, without its body if the request's method is HEAD.
+    void write_response(std::string bytes);
     /// Writes what the socket takes of unsent_ and waits to write the rest.
     void flush();
     void continue_write();
@@ -109,7 +111,8 @@
     bool writing_ = false;           ///< waits to write the rest of unsent_
     bool read_wait_pending_ = false; ///< an async_wait for input is pending
     bool close_after_response_ = false;
-    bool lingering_ = false; ///< send side shut down; input is discarded
+    bool head_request_ = false; ///< the latest request's method is HEAD
+    bool lingering_ = false;    ///< send side shut down; input is discarded
     bool closed_ = false;
     bool continue_sent_ = false; ///< 100 Continue has been sent
     time_point phase_start_; ///< start of the current phase: idle, receiving a
--- a/eventloop/tests/http_server_test.cpp
+++ b/eventloop/tests/http_server_test.cpp
@@ -45,6 +45,25 @@
     CHECK_FALSE(c.peer_closed());
 }
 
+// Guards against a body where the next answer on the connection is due.
+TEST_CASE("no answer to HEAD has a body")
+{
+    fixture f;
+    auto c = f.client();
+    c.send("HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+           "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto const text = c.receive_until(f.loop, "/2");
+    auto const head = ok("/1").substr(0, ok("/1").find("\r\n\r\n") + 4);
+    CHECK(text == head + ok("/2"));
+    c.clear();
+    // A refusal before the handler has the request.
+    c.send("HEAD /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n");
+    f.rejection_body = "refused";
+    auto const refusal = c.receive_until(f.loop, "\r\n\r\n");
+    CHECK(f.rejected.size() == 1);
+    CHECK(refusal.ends_with("\r\n\r\n"));
+}
+
 // Guards against connections that are idle while the limits change and then
 // refuse what the new ones allow, or take what they do not.
 TEST_CASE("the next request on a connection is read under the newest limits")
--- a/eventloop/tests/server_fixture.hpp
+++ b/eventloop/tests/server_fixture.hpp
@@ -54,7 +54,9 @@
     std::string rejection(error_kind kind) override
     {
         rejected.push_back(kind);
-        return "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n";
+        return "HTTP/1.1 400 Bad\r\nContent-Length: " +
+               std::to_string(rejection_body.size()) + "\r\n\r\n" +
+               rejection_body;
     }
 
     raw_socket client() { return raw_socket::connect(loop, at); }
@@ -78,6 +80,7 @@
     asio::ip::tcp::endpoint at;
     std::vector<std::string> targets;
     std::vector<error_kind> rejected;
+    std::string rejection_body;
     exchange_id open = 0;
     bool respond_immediately = true;
     int disconnects = 0;
--- a/host/tests/front_service_test.cpp
+++ b/host/tests/front_service_test.cpp
@@ -78,6 +78,28 @@
     CHECK(answer.substr(9, 3) == (once ? "502" : "200"));
 }
 
+// Guards against a refusal's body where the answer to a client's next request
+// on the connection is due.
+TEST_CASE("no answer that a host makes itself has a body if the method is HEAD")
+{
+    front_fixture f;
+    auto client = f.connect_client();
+    std::string const method = GENERATE("HEAD", "GET", "POST", "DELETE");
+    std::string const path = GENERATE("/none/x", "/read/x", "/query/x");
+    CAPTURE(method, path);
+    for (int i = 0; i < 2; ++i)
+    {
+        client.send(request(method, path, "id-1"));
+        auto const head = client.receive_until(f.loop, "\r\n\r\n");
+        CHECK(head.substr(9, 3) == (path == "/none/x" ? "404" : "503"));
+        f.run(5);
+        auto const& text = client.received();
+        auto const body = text.substr(text.find("\r\n\r\n") + 4);
+        CHECK(body.empty() == (method == "HEAD"));
+        client.clear();
+    }
+}
+
 // Guards against a host whose memory grows with every request that it has
 // answered, until it is killed.
 TEST_CASE("a request that has ended is not held")
