--- a/eventloop/include/eventloop/http_server.hpp
+++ b/eventloop/include/eventloop/http_server.hpp
@@ -73,6 +73,10 @@
     /// The body of a response to HEAD is left out.
     void respond(exchange_id exchange, std::string bytes, bool close);
 
+    /// Whether the client of an exchange has closed its side, also if that has
+    /// not been read yet. One system call.
+    bool client_has_left(exchange_id exchange) const;
+
     /// From now on every connection is closed after its next response.
     void set_closing() { closing_ = true; }
     bool closing() const { return closing_; }
--- a/eventloop/src/details/server_connection.cpp
+++ b/eventloop/src/details/server_connection.cpp
@@ -7,6 +7,7 @@
 #include <base/string_memory.hpp>
 #include <eventloop/process_budget.hpp>
 #include <eventloop/socket_options.hpp>
+#include <sys/socket.h>
 
 namespace kumquatramp::eventloop
 {
@@ -334,6 +335,13 @@
     charge_.resize(std::min(charge_.bytes(), connection_bytes));
 }
 
+bool server_connection::client_has_left()
+{
+    char byte = 0;
+    return !closed_ && recv(socket_.native_handle(), &byte, sizeof byte,
+                            MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void server_connection::write_response(std::string bytes)
 {
     if (head_request_)
--- a/eventloop/src/details/server_connection.hpp
+++ b/eventloop/src/details/server_connection.hpp
@@ -57,6 +57,10 @@
     /// Whether part of a response has not been written to the socket yet.
     bool is_writing() const { return writing_ && !closed_; }
 
+    /// Whether the client has closed its side and sent nothing that has not
+    /// been read. Asks the kernel.
+    bool client_has_left();
+
     /// The exchange that has not been answered yet, or 0 if there is none.
     exchange_id exchange() const { return exchange_; }
 
--- a/eventloop/src/http_server.cpp
+++ b/eventloop/src/http_server.cpp
@@ -129,6 +129,12 @@
     }
 }
 
+bool http_server::client_has_left(exchange_id exchange) const
+{
+    auto const found = exchanges_.find(exchange);
+    return found != exchanges_.end() && found->second->client_has_left();
+}
+
 void http_server::sweep()
 {
     time_point const now = time_.now();
--- a/host/include/host/front_service.hpp
+++ b/host/include/host/front_service.hpp
@@ -59,8 +59,8 @@
     /// Answers all requests by `end`, because this host exits soon after it.
     void end_by(time_point end);
 
-    /// Enforces the time limits of connections. To be called about ten times
-    /// per second.
+    /// Enforces the time limits of connections and notices when the event loop
+    /// was held up. To be called about ten times per second.
     void sweep();
 
     // request_handler: calls from client connections.
@@ -111,6 +111,8 @@
     bool account(exchange_state& exchange);
     /// Retry-After of a request that is refused for lack of memory.
     duration memory_retry_after();
+    /// Whether the client's close may stand unread behind its request.
+    bool may_have_left(time_point now) const;
     /// Accounts for what the engine holds, and arms the timer for its next
     /// event.
     void after_engine_call();
@@ -137,6 +139,9 @@
     asio::steady_timer timer_;
     time_point armed_for_ = never; // when timer_ expires, or never
     bool refusing_requests_ = false;
+    time_point last_sweep_{};
+    /// The event loop was held up: until then clients may have left unnoticed.
+    time_point check_clients_until_{};
     /// Requests that the engine has not released.
     std::unordered_map<serving::request_handle, std::unique_ptr<exchange_state>>
         exchanges_;
--- a/host/src/front_service.cpp
+++ b/host/src/front_service.cpp
@@ -29,6 +29,11 @@
 
 /// Charged for each request in progress, beside its head and body.
 constexpr std::size_t request_bytes = 2048;
+/// The event loop was held up if sweeps are further apart than this, more than
+/// twice their interval.
+constexpr duration max_sweep_gap = 250ms;
+/// Time in which requests that arrived while the loop was held up are read.
+constexpr duration client_check_time = 500ms;
 /// Larger bodies leave memory to other requests.
 constexpr std::size_t small_body_bytes = 16384;
 
@@ -87,8 +92,20 @@
     after_engine_call();
 }
 
+bool front_service::may_have_left(time_point now) const
+{
+    return last_sweep_ != time_point{} &&
+           (now - last_sweep_ >= max_sweep_gap || now < check_clients_until_);
+}
+
 void front_service::sweep()
 {
+    time_point const now = time_.now();
+    if (last_sweep_ != time_point{} && now - last_sweep_ >= max_sweep_gap)
+    {
+        check_clients_until_ = now + client_check_time;
+    }
+    last_sweep_ = now;
     server_.sweep();
     pool_.sweep();
 }
@@ -132,6 +149,14 @@
     state->client_keep_alive = message.keep_alive;
     state->arrived_at = time_.now();
     std::string_view const host = message.header("Host");
+    if (may_have_left(state->arrived_at) && server_.client_has_left(exchange))
+    {
+        // The connection reports the disconnection in a later turn.
+        serving::request_summary summary;
+        summary.outcome = "client_left";
+        log_.request(state->id, summary);
+        return;
+    }
     if (refusing_requests_)
     {
         refuse_unsubmitted(exchange, state->id, error_kind::leaving, 100ms);
--- a/host/tests/front_service_test.cpp
+++ b/host/tests/front_service_test.cpp
@@ -3,6 +3,7 @@
 #include "front_fixture.hpp"
 #include <array>
 #include <catch2/catch.hpp>
+#include <thread>
 
 namespace kumquatramp::host
 {
@@ -78,6 +79,28 @@
     CHECK(answer.substr(9, 3) == (once ? "502" : "200"));
 }
 
+// Guards against work for clients that have left while the event loop was held
+// up: the close stands unread behind the request.
+TEST_CASE(
+    "a request is not passed on if its client left while the loop was held "
+    "up")
+{
+    bool const leaves = GENERATE(true, false);
+    CAPTURE(leaves);
+    front_fixture f;
+    auto& target = f.add_target("t1");
+    auto client = f.connect_client();
+    f.run(20);
+    f.front.sweep();
+    client.send(request("GET", "/read/x", "id-1"));
+    if (leaves)
+    {
+        client.close();
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    CHECK(f.await_request(target, "/read/", 200).has_value() == !leaves);
+}
+
 // Guards against a refusal's body where the answer to a client's next request
 // on the connection is due.
 TEST_CASE("no answer that a host makes itself has a body if the method is HEAD")
