Apply only the last of several values of an item in one answer

What callers would see: a host that answers late after configurations came in quick succession.

Values that a later one in the same answer replaces are skipped; deletions are kept, since they end what was there before.

registry_tests "of several values of an item in one answer only the last is applied" failed before. All registry_tests pass.

--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -3,6 +3,10 @@
 #include <registry/store_follower.hpp>
 #include <registry/store_port.hpp>
 #include <registry/store_sink.hpp>
+#include <set>
+#include <span>
+#include <string_view>
+#include <vector>
 
 namespace kumquatramp::registry
 {
@@ -41,6 +45,24 @@
                       : min_watch_wait;
 }
 
+/// The changes without values that a later one of the same key replaces.
+/// Deletions are kept, since they end what was there before.
+std::vector<store_item const*>
+current_values(std::span<store_item const> changes)
+{
+    std::set<std::string_view> replaced;
+    std::vector<store_item const*> current;
+    for (auto it = changes.rbegin(); it != changes.rend(); ++it)
+    {
+        if (it->deleted || replaced.insert(it->key).second)
+        {
+            current.push_back(&*it);
+        }
+    }
+    std::reverse(current.begin(), current.end());
+    return current;
+}
+
 duration scaled(duration whole, double factor)
 {
     return std::chrono::duration_cast<duration>(whole * factor);
@@ -191,9 +213,9 @@
         next_call_ = now;
         return;
     }
-    for (auto const& item : answer.items)
+    for (auto const* item : current_values(answer.items))
     {
-        sink_.apply(item, now);
+        sink_.apply(*item, now);
     }
     revision_ = answer.revision;
     next_call_ =
--- a/registry/tests/store_follower_test.cpp
+++ b/registry/tests/store_follower_test.cpp
@@ -42,12 +42,14 @@
     void apply(store_item const& item, time_point) override
     {
         events.push_back((item.deleted ? "-" : "+") + item.key);
+        values.push_back(item.value);
     }
     void end_listing(time_point) override { events.emplace_back("end"); }
     void on_current(time_point now) override { current_at = now; }
 
     std::vector<std::string> events;
-    time_point current_at{}; ///< of the last on_current
+    std::vector<std::string> values; ///< of the items applied
+    time_point current_at{};         ///< of the last on_current
 };
 
 class recording_log final : public serving::event_sink
@@ -84,6 +86,7 @@
         follower.tick(now);
         port.calls.clear();
         sink.events.clear();
+        sink.values.clear();
     }
 };
 
@@ -165,6 +168,29 @@
                      "store.regained") == 1);
 }
 
+// Guards against a host that is held up by decoding configurations that have
+// already been replaced.
+TEST_CASE("of several values of an item in one answer only the last is applied")
+{
+    fixture f;
+    f.synchronize();
+    f.follower.on_answer({{{"a", "1", false},
+                           {"b", "1", false},
+                           {"a", "2", false},
+                           {"c", "1", false},
+                           {"c", "", true},
+                           {"c", "2", false},
+                           {"b", "", true},
+                           {"a", "3", false}},
+                          20,
+                          false},
+                         f.now);
+    // Deletions end what was there before, so they are kept.
+    CHECK(f.sink.events ==
+          std::vector<std::string>{"+b", "-c", "+c", "-b", "+a"});
+    CHECK(f.sink.values == std::vector<std::string>{"1", "", "2", "", "3"});
+}
+
 // Guards against a host that asks for the same changes again and again because
 // their answer is too large or cannot be read, and learns of nothing else.
 TEST_CASE("a watch whose answer cannot be used is followed by a listing")
