Tell the era 0 from none

An era that was not stated is empty now, null in the log and /status and absent from the metrics. registry_tests "the era after 0 is another one" failed before.

--- a/host/src/host_log.cpp
+++ b/host/src/host_log.cpp
@@ -120,7 +120,7 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 summary.version_age)
                 .count(),
-            store_.era, store_.revision,
+            store_.era ? std::to_string(*store_.era) : "null", store_.revision,
             std::chrono::duration_cast<std::chrono::milliseconds>(summary.took)
                 .count(),
             summary.shards, summary.missing, json_text(summary.details)));
--- a/host/src/query_host_endpoints.cpp
+++ b/host/src/query_host_endpoints.cpp
@@ -60,6 +60,7 @@
     {
         time_point const now = time_.now();
         auto const* catalogue = front_.engine().catalogue();
+        auto const store_era = follower_.position().era;
         return {.status = 200,
                 .body = fmt::format(
                     R"({{"host":"{}","zone":"{}","ready":{},"leaving":{},)"
@@ -71,8 +72,8 @@
                     leaving_since_.has_value(),
                     catalogue == nullptr ? 0 : catalogue->version(),
                     fleet_.live_hosts(), configuration_refused_,
-                    follower_.position().era, follower_.position().revision,
-                    targets_.usable_count(),
+                    store_era ? std::to_string(*store_era) : "null",
+                    follower_.position().revision, targets_.usable_count(),
                     (now - follower_.last_contact()) / 1ms)};
     }
     return {};
@@ -151,8 +152,10 @@
     print_metric(text, "configuration_refused", configuration_refused_ ? 1 : 0);
     print_metric(text, "configurations_refused_total",
                  static_cast<double>(refused_configurations_));
-    print_metric(text, "store_era",
-                 static_cast<double>(follower_.position().era));
+    if (auto const era = follower_.position().era)
+    {
+        print_metric(text, "store_era", static_cast<double>(*era));
+    }
     print_metric(text, "store_revision",
                  static_cast<double>(follower_.position().revision));
     print_metric(text, "store_histories_replaced_total",
--- a/registry/include/registry/store_follower.hpp
+++ b/registry/include/registry/store_follower.hpp
@@ -4,6 +4,7 @@
 
 #include <base/random_source.hpp>
 #include <base/time.hpp>
+#include <optional>
 #include <registry/store_item.hpp>
 #include <registry/store_sink.hpp>
 #include <serving/event_sink.hpp>
@@ -118,7 +119,7 @@
     bool synchronized_ = false; ///< a listing has been completed
     std::string last_key_; ///< of the listing in progress; empty: first page
     std::uint64_t revision_ = 0; ///< changes up to it have been received
-    std::uint64_t era_ = 0;      ///< last stated by the store; 0: none yet
+    std::optional<std::uint64_t> era_{}; ///< last stated by the store
     std::uint64_t replaced_histories_ = 0;
     int failures_ = 0; ///< consecutive failed calls
     std::uint64_t calls_ = 0;
--- a/registry/include/registry/store_item.hpp
+++ b/registry/include/registry/store_item.hpp
@@ -3,6 +3,7 @@
 #define KUMQUATRAMP_REGISTRY_STORE_ITEM_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,7 +23,7 @@
 /// again; revisions of different eras cannot be compared.
 struct store_position
 {
-    std::uint64_t era = 0; ///< 0: the store has not stated one
+    std::optional<std::uint64_t> era{}; ///< empty: the store has not stated one
     std::uint64_t revision = 0;
 };
 
--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -122,10 +122,10 @@
 
 void store_follower::on_era(std::uint64_t era)
 {
-    if (era_ != 0 && era != era_)
+    if (era_ && era != *era_)
     {
         start_over("era " + std::to_string(era) + " after " +
-                   std::to_string(era_));
+                   std::to_string(*era_));
     }
     era_ = era;
 }
--- a/registry/tests/store_follower_test.cpp
+++ b/registry/tests/store_follower_test.cpp
@@ -339,6 +339,17 @@
     CHECK(f.port.calls.back() == "watch 5");
 }
 
+// Guards against a store whose first era is 0, as if it stated none.
+TEST_CASE("the era after 0 is another one")
+{
+    fixture f;
+    f.follower.on_era(0);
+    f.synchronize();
+    f.follower.on_era(1);
+    f.follower.on_failure(store_failure::history_lost, "", f.now);
+    CHECK(f.follower.replaced_histories() == 1);
+}
+
 // Guards against a listing that began as a complete one before the host knew
 // that the store has been restored.
 TEST_CASE("a first page that states another era is requested again")
@@ -350,7 +361,7 @@
     f.follower.tick(f.now);
     f.follower.on_era(4);
     f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
-    f.follower.tick(f.now);
+    f.advance(1s);
     CHECK(f.sink.events == std::vector<std::string>{"begin", "begin restored"});
 }
 
@@ -424,7 +435,7 @@
     f.follower.tick(f.now);
     f.follower.on_era(4);
     f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
-    f.follower.tick(f.now);
+    f.advance(1s);
     f.follower.on_answer({{{"b", "", false}}, 5, false}, f.now);
     CHECK(f.sink.events ==
           std::vector<std::string>{"begin", "+a", "begin", "+b", "end"});
