Pause before a listing that follows a replaced history

What the platform would see: two stores behind one address, with different eras by turns, would be called without any pause, 9,650 times in 10 s of virtual time (registry_tests "a store that changes its era with each answer is called with pauses", failed before).

--- a/registry/src/store_follower.cpp
+++ b/registry/src/store_follower.cpp
@@ -156,7 +156,7 @@
     }
     if (answer_outdated_)
     {
-        next_call_ = now;
+        schedule_retry(initial_backoff, now);
     }
     else if (listing_)
     {
@@ -210,7 +210,7 @@
     if (answer.revision < revision_)
     {
         start_over("revision " + std::to_string(answer.revision));
-        next_call_ = now;
+        schedule_retry(initial_backoff, now);
         return;
     }
     for (auto const* item : current_values(answer.items))
--- a/registry/tests/store_follower_test.cpp
+++ b/registry/tests/store_follower_test.cpp
@@ -350,6 +350,25 @@
     CHECK(f.follower.replaced_histories() == 1);
 }
 
+// Guards against calls without a pause to a store whose answers state one era
+// and another by turns.
+TEST_CASE("a store that changes its era with each answer is called with pauses")
+{
+    fixture f;
+    f.synchronize();
+    time_point const begin = f.now;
+    int calls = 0;
+    while (f.now < begin + 10s)
+    {
+        f.now += 1ms;
+        f.follower.on_era(static_cast<std::uint64_t>(++calls % 2));
+        f.follower.on_answer({{{"a", "", false}}, 10, false}, f.now);
+        f.now = std::max(f.now, f.follower.next_due());
+        f.follower.tick(f.now);
+    }
+    CHECK(calls <= 100);
+}
+
 // Guards against a listing that began as a complete one before the host knew
 // that the store has been restored.
 TEST_CASE("a first page that states another era is requested again")
