Refuse an unreadable route alone, not its whole configuration

What callers would see: no change of any route in force, because one route of the configuration is of a kind that this version does not know.

The store accepts valid configurations only, so a route that cannot be read is one that the host does not understand, not a sign that the rest is wrong. Its requests are refused with 503 (no_target) where its host and prefix can be read; they are not served by the route of a shorter prefix. Otherwise it is left out. Log event, gauge.

--- a/host/src/query_host_endpoints.cpp
+++ b/host/src/query_host_endpoints.cpp
@@ -149,6 +149,8 @@
     print_metric(
         text, "configuration_version",
         catalogue == nullptr ? 0.0 : static_cast<double>(catalogue->version()));
+    print_metric(text, "configuration_unusable_routes",
+                 catalogue == nullptr ? 0 : catalogue->unusable_routes());
     print_metric(text, "configuration_refused", configuration_refused_ ? 1 : 0);
     print_metric(text, "configurations_refused_total",
                  static_cast<double>(refused_configurations_));
--- a/host/src/query_host_store.cpp
+++ b/host/src/query_host_store.cpp
@@ -78,6 +78,12 @@
         configuration_refused_ = false;
         front_.server().set_limits(catalogue->limits());
         log_.note("configuration.accepted", version, "now in effect");
+        if (int const unusable = catalogue->unusable_routes(); unusable > 0)
+        {
+            log_.note("configuration.unusable_routes", version,
+                      std::to_string(unusable) +
+                          " routes cannot be read; their requests are refused");
+        }
         fleet_.set_ready(ready());
     }
     else
--- a/serving/include/serving/route.hpp
+++ b/serving/include/serving/route.hpp
@@ -18,8 +18,8 @@
     bool operator==(split_part const&) const = default;
 };
 
-/// A route as the operator configured it. Exactly one of `split` and `shards`
-/// is non-empty: a request goes to one of the services, or to all shards.
+/// A route as the operator configured it. A request goes to one of the services
+/// of `split` or to all `shards`; at most one of the two is non-empty.
 struct route
 {
     std::string name;
@@ -36,6 +36,8 @@
     double min_coverage = 1.0; ///< least share of shards for success
 
     bool scatters() const { return !shards.empty(); }
+    /// Its destination could not be read: requests on it are refused.
+    bool unusable() const { return split.empty() && shards.empty(); }
     bool operator==(route const&) const = default;
 };
 
--- a/serving/include/serving/route_catalogue.hpp
+++ b/serving/include/serving/route_catalogue.hpp
@@ -22,6 +22,8 @@
     std::vector<route> routes;
     std::vector<backend_service> services;
     edge_limits limits;
+    /// Routes that are left out, since what they match could not be read.
+    int unreadable_routes = 0;
 
     bool operator==(catalogue_data const&) const = default;
 };
@@ -34,6 +36,9 @@
 
     std::uint64_t version() const { return data_.version; }
     edge_limits const& limits() const { return data_.limits; }
+    /// Routes that requests cannot use: unreadable or with an unreadable
+    /// destination.
+    int unusable_routes() const;
     /// Whether both have the same version, routes, services and limits.
     bool same_as(route_catalogue const& other) const
     {
--- a/serving/src/details/engine_admission.cpp
+++ b/serving/src/details/engine_admission.cpp
@@ -79,6 +79,11 @@
         refuse_unadmitted(request.handle, error_kind::unknown_path, now);
         return;
     }
+    if (matched_route->unusable())
+    {
+        refuse_unadmitted(request.handle, error_kind::no_target, now);
+        return;
+    }
     if (requests_.size() >= options_.max_in_progress)
     {
         refuse_unadmitted(request.handle, error_kind::overloaded, now);
--- a/serving/src/route_catalogue.cpp
+++ b/serving/src/route_catalogue.cpp
@@ -61,6 +61,14 @@
     return nullptr;
 }
 
+int route_catalogue::unusable_routes() const
+{
+    return data_.unreadable_routes +
+           static_cast<int>(
+               std::count_if(data_.routes.begin(), data_.routes.end(),
+                             [](route const& r) { return r.unusable(); }));
+}
+
 backend_service const* route_catalogue::service(std::string_view name) const
 {
     auto const found = by_service_.find(name);
--- a/serving/tests/request_engine_test.cpp
+++ b/serving/tests/request_engine_test.cpp
@@ -56,6 +56,33 @@
 } // namespace
 
 // The memory of a host is bounded by what its engine says that it holds.
+// Guards against a request that is answered 404, or by the route of a shorter
+// prefix, although its own route is there and only cannot be read.
+TEST_CASE("a request on an unusable route is refused as not executed")
+{
+    engine_fixture fixture;
+    fixture.add_targets("s", {"zone-a"});
+    catalogue_data data;
+    data.version = 9;
+    route wide;
+    wide.name = "wide";
+    wide.host = "h";
+    wide.prefix = "/a/";
+    wide.timeout = 1s;
+    wide.split = {{"s", 1.0}};
+    route unusable = wide;
+    unusable.name = "unusable";
+    unusable.prefix = "/a/b/";
+    unusable.split.clear();
+    data.routes = {wide, unusable};
+    REQUIRE(fixture.engine.set_catalogue(
+        std::make_shared<route_catalogue const>(data)));
+    fixture.engine.submit({1, "h", "/a/b/x", 1s}, fixture.now);
+    REQUIRE(fixture.answers.contains(1));
+    CHECK(fixture.answers.at(1).error == error_kind::no_target);
+    CHECK(fixture.sent.empty());
+}
+
 TEST_CASE("the engine states what it holds for requests in progress")
 {
     ten_shards fixture;
