--- a/host/src/query_host_store.cpp
+++ b/host/src/query_host_store.cpp
@@ -14,7 +14,7 @@
 void query_host::details::apply(registry::store_item const& item,
                                 time_point now)
 {
-    bool const restored = listing_ == registry::listing_kind::restored;
+    bool const from_copy = listing_ == registry::listing_kind::restored;
     store_change change = adapter_.decode(item);
     if (auto* unusable = std::get_if<unusable_entry>(&change))
     {
@@ -31,8 +31,14 @@
     else if (auto* record = std::get_if<serving::target_record>(&change))
     {
         listed_targets_.insert(record->id);
-        restored ? targets_.put_restored(std::move(*record), now)
-                 : targets_.put(std::move(*record), now);
+        if (from_copy)
+        {
+            targets_.put_restored(std::move(*record), now);
+        }
+        else
+        {
+            targets_.put(std::move(*record), now);
+        }
     }
     else if (auto* gone = std::get_if<target_removed>(&change))
     {
@@ -42,8 +48,14 @@
     else if (auto* evacuated = std::get_if<zone_evacuated>(&change))
     {
         listed_evacuations_.insert(evacuated->zone);
-        restored ? targets_.evacuate_restored(evacuated->zone, now)
-                 : targets_.evacuate(evacuated->zone, now);
+        if (from_copy)
+        {
+            targets_.evacuate_restored(evacuated->zone, now);
+        }
+        else
+        {
+            targets_.evacuate(evacuated->zone, now);
+        }
     }
     else if (auto* restored = std::get_if<zone_restored>(&change))
     {
